--- /dev/null
+++ b/src/core/config/fold.rs
@@ -0,0 +1,277 @@
+//! The fold: the same verdict on every record in every process.
+
+use std::sync::Arc;
+
+use crate::{
+    core::{
+        config::{Action, Change, Exception, Item, ItemKind, Key, Record, Selector, State},
+        ids::Offset,
+    },
+    errors::{Code, Refusal},
+};
+
+/// What the fold says of one record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The change is in force.
+    Accepted,
+    /// The change has no effect.
+    Rejected(Refusal),
+    /// A snapshot, or a record that was folded before.
+    NoChange,
+}
+
+/// Folds the configuration stream. The revision never goes back.
+///
+/// ```
+/// use goldcrestpitch::core::config::{Fold, Verdict};
+/// let mut fold = Fold::default();
+/// let record = br#"{"record":"change","id":"1","operator":"ana","base":0,
+///     "action":{"do":"set","key":"tenant.weight","value":7}}"#;
+/// assert_eq!(fold.apply(1, record), Verdict::Accepted);
+/// assert_eq!(fold.state().revision, 1);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Fold {
+    state: Arc<State>,
+    snapshot_at: Offset,
+}
+
+impl Fold {
+    /// The folded state.
+    pub fn state(&self) -> &Arc<State> {
+        &self.state
+    }
+
+    /// Offset of the last snapshot that was seen.
+    pub fn snapshot_at(&self) -> Offset {
+        self.snapshot_at
+    }
+
+    /// Takes a state from a peer or a snapshot unless it is older than what is known.
+    pub fn adopt(&mut self, state: State) -> bool {
+        if state.revision <= self.state.revision {
+            return false;
+        }
+        self.state = Arc::new(state);
+        true
+    }
+
+    /// Folds one record in. Records must come in the order of their offsets.
+    pub fn apply(&mut self, offset: Offset, payload: &[u8]) -> Verdict {
+        let record = serde_json::from_slice(payload);
+        if let Ok(Record::Snapshot(_)) = &record {
+            self.snapshot_at = self.snapshot_at.max(offset);
+        }
+        if offset <= self.state.revision {
+            return Verdict::NoChange;
+        }
+        match record {
+            Ok(Record::Change(change)) => self.change(offset, change),
+            Ok(Record::Snapshot(snapshot)) => {
+                self.adopt(snapshot.state);
+                self.advance(offset);
+                Verdict::NoChange
+            }
+            Err(err) => {
+                self.advance(offset);
+                let text = format!("record {offset} is not readable: {err}");
+                Verdict::Rejected(Refusal::new(Code::UnreadableRecord, text))
+            }
+        }
+    }
+
+    fn advance(&mut self, offset: Offset) {
+        Arc::make_mut(&mut self.state).revision = offset;
+    }
+
+    fn change(&mut self, offset: Offset, change: Change) -> Verdict {
+        match check(&self.state, &change) {
+            Ok(mut next) => {
+                next.paths.insert(change.action.path(), offset);
+                next.revision = offset;
+                self.state = Arc::new(next);
+                Verdict::Accepted
+            }
+            Err(refusal) => {
+                self.advance(offset);
+                Verdict::Rejected(refusal)
+            }
+        }
+    }
+}
+
+fn refuse<T>(code: Code, message: String) -> Result<T, Refusal> {
+    Err(Refusal::new(code, message))
+}
+
+fn check(state: &State, change: &Change) -> Result<State, Refusal> {
+    let path = change.action.path();
+    let current = state.path_revision(&path);
+    if change.base != current {
+        let text = format!(
+            "{path:?} is at revision {current}, the change names {}",
+            change.base
+        );
+        return refuse(Code::StaleBase, text);
+    }
+    let mut next = state.clone();
+    apply_action(&mut next, &change.action)?;
+    let before = state.misfits();
+    let after = next.misfits();
+    let worse: Vec<_> = after.iter().filter(|name| !before.contains(name)).collect();
+    if worse.is_empty() {
+        return Ok(next);
+    }
+    refuse(
+        Code::DoesNotFit,
+        format!("too few engines have room for models {worse:?}"),
+    )
+}
+
+fn apply_action(state: &mut State, action: &Action) -> Result<(), Refusal> {
+    match action {
+        Action::Set { key, value } => {
+            checked_value(key, *value)?;
+            state.defaults.insert(key.clone(), *value);
+        }
+        Action::Except {
+            selector,
+            key,
+            value,
+            reason,
+        } => {
+            except(state, selector, key, *value, reason)?;
+        }
+        Action::Drop { selector, key } => drop_exception(state, selector, key)?,
+        Action::Declare { name, item } => declare(state, name, item)?,
+        Action::Retire { kind, name } => retire(state, *kind, name)?,
+    }
+    Ok(())
+}
+
+fn checked_value(name: &str, value: u64) -> Result<Key, Refusal> {
+    let key: Key = name
+        .parse()
+        .map_err(|text: String| Refusal::new(Code::UnknownKey, text))?;
+    let (min, max) = key.range();
+    if value < min || max < value {
+        return refuse(
+            Code::BadValue,
+            format!("{key} takes {min} to {max}, not {value}"),
+        );
+    }
+    Ok(key)
+}
+
+fn except(
+    state: &mut State,
+    selector: &Selector,
+    name: &str,
+    value: u64,
+    reason: &str,
+) -> Result<(), Refusal> {
+    let key = checked_value(name, value)?;
+    if reason.trim().is_empty() {
+        return refuse(
+            Code::MissingReason,
+            format!("exception {selector} {key} has no reason"),
+        );
+    }
+    if !key.scopes().contains(&selector.kind) {
+        return refuse(
+            Code::BadSelector,
+            format!("{key} takes no exception for {selector}"),
+        );
+    }
+    if state.item(selector.kind, &selector.name).is_none() {
+        return refuse(Code::BadSelector, format!("{selector} is not configured"));
+    }
+    let exception = Exception {
+        value,
+        reason: reason.to_owned(),
+    };
+    state
+        .exceptions
+        .entry(selector.clone())
+        .or_default()
+        .insert(name.to_owned(), exception);
+    Ok(())
+}
+
+fn drop_exception(state: &mut State, selector: &Selector, key: &str) -> Result<(), Refusal> {
+    let removed = state
+        .exceptions
+        .get_mut(selector)
+        .and_then(|m| m.remove(key));
+    if removed.is_none() {
+        return refuse(
+            Code::NothingToDrop,
+            format!("{selector} has no exception for {key:?}"),
+        );
+    }
+    state.exceptions.retain(|_, m| !m.is_empty());
+    Ok(())
+}
+
+fn declare(state: &mut State, name: &str, item: &Item) -> Result<(), Refusal> {
+    let legal = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if name.is_empty() || 64 < name.len() || !name.chars().all(legal) {
+        let text = format!("name {name:?} is not 1 to 64 letters, digits, dots, dashes");
+        return refuse(Code::BadValue, text);
+    }
+    let missing = match item {
+        Item::Adapter { model, .. } => missing(state, ItemKind::Model, model),
+        Item::Endpoint {
+            service: Some(service),
+            ..
+        } => missing(state, ItemKind::Service, service),
+        _ => None,
+    };
+    if let Some(text) = missing {
+        return refuse(Code::BadSelector, text);
+    }
+    state
+        .items
+        .entry(item.kind())
+        .or_default()
+        .insert(name.to_owned(), item.clone());
+    Ok(())
+}
+
+fn missing(state: &State, kind: ItemKind, name: &str) -> Option<String> {
+    let absent = state.item(kind, name).is_none();
+    absent.then(|| format!("{kind} {name:?} is not configured"))
+}
+
+fn retire(state: &mut State, kind: ItemKind, name: &str) -> Result<(), Refusal> {
+    let removed = state.items.get_mut(&kind).and_then(|m| m.remove(name));
+    if removed.is_none() {
+        return refuse(
+            Code::NothingToDrop,
+            format!("{kind} {name:?} is not configured"),
+        );
+    }
+    let used = state
+        .items
+        .values()
+        .flat_map(|m| m.iter())
+        .find(|(_, item)| match item {
+            Item::Adapter { model, .. } => kind == ItemKind::Model && model == name,
+            Item::Endpoint {
+                service: Some(s), ..
+            } => kind == ItemKind::Service && s == name,
+            _ => false,
+        });
+    if let Some((user, _)) = used {
+        return refuse(
+            Code::BadSelector,
+            format!("{kind} {name:?} is used by {user:?}"),
+        );
+    }
+    // Exceptions of the item go with it: a later item of that name starts without them.
+    state
+        .exceptions
+        .retain(|s, _| !(s.kind == kind && s.name == name));
+    Ok(())
+}
--- /dev/null
+++ b/src/core/config/state.rs
@@ -0,0 +1,175 @@
+//! The folded configuration and the values that follow from it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::{
+    config::{Item, ItemKind, Key, Selector},
+    ids::{Mib, Offset},
+};
+
+/// A value for one item, with the reason.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exception {
+    /// The value.
+    pub value: u64,
+    /// Why the item differs.
+    pub reason: String,
+}
+
+/// The items that a lookup is for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Scope<'a> {
+    /// The model.
+    pub model: Option<&'a str>,
+    /// The endpoint.
+    pub endpoint: Option<&'a str>,
+    /// The tenant.
+    pub tenant: Option<&'a str>,
+    /// The class.
+    pub class: Option<&'a str>,
+}
+
+impl<'a> Scope<'a> {
+    /// The scope of one endpoint.
+    pub fn endpoint(id: &'a str) -> Self {
+        Self {
+            endpoint: Some(id),
+            ..Self::default()
+        }
+    }
+
+    /// The scope of one model.
+    pub fn model(name: &'a str) -> Self {
+        Self {
+            model: Some(name),
+            ..Self::default()
+        }
+    }
+
+    fn name(&self, kind: ItemKind) -> Option<&'a str> {
+        match kind {
+            ItemKind::Model => self.model,
+            ItemKind::Endpoint => self.endpoint,
+            ItemKind::Tenant => self.tenant,
+            ItemKind::Class => self.class,
+            ItemKind::Adapter | ItemKind::Service => None,
+        }
+    }
+}
+
+/// The folded configuration.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct State {
+    /// Offset of the last record that was folded in.
+    pub revision: Offset,
+    /// Defaults that operators set, by key name.
+    pub defaults: BTreeMap<String, u64>,
+    /// Exceptions by selector and key name.
+    pub exceptions: BTreeMap<Selector, BTreeMap<String, Exception>>,
+    /// Items by kind and name.
+    pub items: BTreeMap<ItemKind, BTreeMap<String, Item>>,
+    /// Offset of the last accepted change of each path.
+    pub paths: BTreeMap<String, Offset>,
+}
+
+impl State {
+    /// The value in force for a scope: the strongest exception, else the default.
+    ///
+    /// ```
+    /// use goldcrestpitch::core::config::{Key, Scope, State};
+    /// let state = State::default();
+    /// assert_eq!(state.value(Key::FirstTokenMs, &Scope::default()), 1200);
+    /// ```
+    pub fn value(&self, key: Key, scope: &Scope<'_>) -> u64 {
+        for kind in key.scopes() {
+            let Some(name) = scope.name(*kind) else {
+                continue;
+            };
+            let selector = Selector {
+                kind: *kind,
+                name: name.to_owned(),
+            };
+            let found = self
+                .exceptions
+                .get(&selector)
+                .and_then(|m| m.get(key.name()));
+            if let Some(exception) = found {
+                return exception.value;
+            }
+        }
+        self.defaults
+            .get(key.name())
+            .copied()
+            .unwrap_or(key.default_value())
+    }
+
+    /// A value whose unit is milliseconds.
+    pub fn duration(&self, key: Key, scope: &Scope<'_>) -> Duration {
+        Duration::from_millis(self.value(key, scope))
+    }
+
+    /// One item.
+    pub fn item(&self, kind: ItemKind, name: &str) -> Option<&Item> {
+        self.items.get(&kind)?.get(name)
+    }
+
+    /// All items of one kind in the order of their names.
+    pub fn items(&self, kind: ItemKind) -> impl Iterator<Item = (&str, &Item)> {
+        self.items
+            .get(&kind)
+            .into_iter()
+            .flatten()
+            .map(|(n, i)| (n.as_str(), i))
+    }
+
+    /// Names and weights of all models.
+    pub fn models(&self) -> impl Iterator<Item = (&str, Mib)> {
+        self.items(ItemKind::Model)
+            .filter_map(|(name, item)| match item {
+                Item::Model { memory_mib, .. } => Some((name, *memory_mib)),
+                _ => None,
+            })
+    }
+
+    /// Names and memory of all engines, plain services left out.
+    pub fn engines(&self) -> impl Iterator<Item = (&str, Mib)> {
+        self.items(ItemKind::Endpoint)
+            .filter_map(|(name, item)| match item {
+                Item::Endpoint {
+                    memory_mib,
+                    service: None,
+                    ..
+                } => Some((name, *memory_mib)),
+                _ => None,
+            })
+    }
+
+    /// Memory of an engine that models may take, MiB.
+    pub fn model_room(&self, engine: &str, memory: Mib) -> Mib {
+        let percent = self.value(Key::KvReservePercent, &Scope::endpoint(engine));
+        memory - memory * percent / 100
+    }
+
+    /// Models whose `model.min_replicas` has no room on enough engines.
+    pub fn misfits(&self) -> Vec<String> {
+        let rooms: Vec<Mib> = self.engines().map(|(n, m)| self.model_room(n, m)).collect();
+        if rooms.is_empty() {
+            return Vec::new();
+        }
+        let fits = |size: Mib, replicas: u64| {
+            let able = rooms.iter().filter(|room| size <= **room).count() as u64;
+            replicas <= able
+        };
+        let wanted = |name| self.value(Key::MinReplicas, &Scope::model(name));
+        let misfits = self.models().filter(|(n, size)| !fits(*size, wanted(n)));
+        misfits.map(|(n, _)| n.to_owned()).collect()
+    }
+
+    /// Revision of a path; 0 when it was never changed.
+    pub fn path_revision(&self, path: &str) -> Offset {
+        self.paths.get(path).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+//! goldcrestpitch serves many models on fewer accelerators.
+//!
+//! [`core`] holds the decisions and can be embedded by itself; the other
+//! modules put sockets, settings and timers round it.
+
+pub mod core;
+pub mod errors;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The goldcrestpitch binary.
+
+fn main() {}
