At most once: claims, fencing at the named agent, dispatch state machine

Cause: a confirmation must never run twice, though entries, agents, the log and its answers fail at any point, and a claimer may be paused for long. Ruled out: asking the claimer (it may be dead), leases by clock (it may be paused). A claim names the agent, its incarnation and the probe; only that agent's word that the attempt never ran lets a claim be superseded. Events now carry their attempt.

--- /dev/null
+++ b/tests/attempts.rs
@@ -0,0 +1,90 @@
+//! What agents and entries keep of attempts that must run at most once.
+
+use std::time::{Duration, Instant};
+
+use goldcrestpitch::{
+    core::idempotency::{
+        Action, AttemptMemory, Choice, ClaimVerdict, Dispatch, Event, FenceState, NotAdmitted,
+        Request,
+    },
+    errors::{Code, Refusal},
+};
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+#[test]
+fn what_was_forgotten_is_neither_run_nor_denied() {
+    let mut memory = AttemptMemory::new(ms(30_000), 2);
+    assert_eq!(memory.fence(&"f".into(), ms(10)), FenceState::NeverRan);
+    for (i, name) in ["a", "b"].into_iter().enumerate() {
+        let ticket = ms(20 + i as u64);
+        memory.admit(ms(50), &name.into(), ticket).unwrap();
+        memory.ran(&name.into(), None);
+    }
+    // "f" was forgotten: it must not be admitted, and nothing is claimed of it.
+    assert_eq!(
+        memory.admit(ms(60), &"f".into(), ms(10)),
+        Err(NotAdmitted::StaleTicket)
+    );
+    assert_eq!(memory.fence(&"f".into(), ms(10)), FenceState::Unknown);
+    assert_eq!(memory.fence(&"a".into(), ms(20)), FenceState::Ran(None));
+}
+
+#[test]
+fn running_attempts_are_never_forgotten() {
+    let mut memory = AttemptMemory::new(ms(30_000), 1);
+    memory.admit(ms(50), &"long".into(), ms(1)).unwrap();
+    for name in ["a", "b", "c"] {
+        memory.admit(ms(50), &name.into(), ms(40)).unwrap();
+        memory.not_run(&name.into());
+    }
+    assert_eq!(memory.fence(&"long".into(), ms(1)), FenceState::Running);
+    let late = memory.admit(ms(90_000), &"old".into(), ms(41));
+    assert_eq!(late, Err(NotAdmitted::StaleTicket));
+}
+
+/// Found by seed 1074 of the schedules: a refusal of attempt 1 that came while
+/// attempt 2 ran was taken for a refusal of attempt 2, and a third one ran too.
+#[test]
+fn late_refusal_of_an_earlier_attempt_is_ignored() {
+    let now = Instant::now();
+    let request = Request {
+        id: "r".into(),
+        key: "k".into(),
+        digest: 1,
+        entry: "e".into(),
+        deadline: now + ms(5000),
+        max_attempts: 3,
+    };
+    let choice = |agent: &str| Choice {
+        agent: agent.into(),
+        incarnation: 1,
+        ticket_ms: 0,
+    };
+    let refused = |attempt: &str| {
+        Event::Refused(
+            attempt.into(),
+            Refusal::new(Code::QueueFull, "the queue is full"),
+        )
+    };
+    let (mut dispatch, _) = Dispatch::new(request);
+    dispatch.on(now, Event::Chosen(choice("a")));
+    dispatch.on(now, Event::Claimed(ClaimVerdict::Won(1)));
+    assert!(matches!(
+        dispatch.on(now, refused("r.1")),
+        Some(Action::Choose { .. })
+    ));
+    dispatch.on(now, Event::Chosen(choice("b")));
+    let run = dispatch.on(now, Event::Claimed(ClaimVerdict::Won(2)));
+    let Some(Action::Run(claim)) = run else {
+        panic!("attempt 2 was not run")
+    };
+    assert_eq!((&*claim.attempt, claim.supersedes), ("r.2", Some(1)));
+    assert!(dispatch.on(now, refused("r.1")).is_none());
+    assert!(matches!(
+        dispatch.on(now, refused("r.2")),
+        Some(Action::Choose { .. })
+    ));
+}
