--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -36,12 +36,14 @@
 fn running_attempts_are_never_forgotten() {
     let mut memory = AttemptMemory::new(ms(30_000), 1);
     memory.admit(ms(50), &"long".into(), ms(1)).unwrap();
-    for name in ["a", "b", "c"] {
-        memory.admit(ms(50), &name.into(), ms(40)).unwrap();
+    for (i, name) in ["a", "b", "c"].into_iter().enumerate() {
+        memory
+            .admit(ms(50), &name.into(), ms(40 + i as u64))
+            .unwrap();
         memory.not_run(&name.into());
     }
     assert_eq!(memory.fence(&"long".into(), ms(1)), FenceState::Running);
-    let late = memory.admit(ms(90_000), &"old".into(), ms(41));
+    let late = memory.admit(ms(90_000), &"old".into(), ms(50));
     assert_eq!(late, Err(NotAdmitted::StaleTicket));
 }
 
