--- /dev/null
+++ b/src/core/attempt/stream.rs
@@ -0,0 +1,202 @@
+//! Joins the tokens of successive attempts to one whole answer.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+
+use crate::{
+    core::ids::AttemptId,
+    errors::{Code, Outcome, Refusal},
+};
+
+/// What an attempt reported.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// One token of the answer.
+    Token {
+        /// Its position in the whole answer.
+        index: u32,
+        /// Its text.
+        text: Bytes,
+    },
+    /// The attempt is complete.
+    Done {
+        /// Tokens in the whole answer.
+        tokens: u32,
+    },
+    /// The agent refused the attempt before it ran.
+    Refused(Refusal),
+    /// The attempt broke off.
+    Broken {
+        /// Why.
+        refusal: Refusal,
+        /// The endpoint crashed.
+        crashed: bool,
+    },
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Send a token to the caller.
+    Deliver(Bytes),
+    /// Start another attempt behind the tokens that were delivered.
+    Retry,
+    /// The answer is whole.
+    Complete,
+    /// End without a whole answer.
+    Fail(Refusal),
+    /// Nothing.
+    Ignore,
+}
+
+/// Limits of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// Attempts that may run.
+    pub max_attempts: u32,
+    /// Endpoint crashes after which it is not run again.
+    pub max_crashes: u32,
+    /// The caller's deadline.
+    pub deadline: Instant,
+}
+
+// Refusals are cheap and do not count as attempts, but they must end.
+const MAX_REFUSALS: u32 = 8;
+
+/// The answer of one request.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use goldcrestpitch::core::attempt::*;
+/// let now = Instant::now();
+/// let policy = Policy { max_attempts: 2, max_crashes: 2, deadline: now + Duration::from_secs(9) };
+/// let mut stream = Stream::new("r", policy);
+/// let first = stream.begin();
+/// let token = |index| Event::Token { index, text: "x".into() };
+/// assert_eq!(stream.on(now, &first, token(0)), Action::Deliver("x".into()));
+/// // A token that was delivered before is not delivered again.
+/// assert_eq!(stream.on(now, &first, token(0)), Action::Ignore);
+/// assert_eq!(stream.on(now, &first, Event::Done { tokens: 1 }), Action::Complete);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Stream {
+    id: String,
+    policy: Policy,
+    current: Option<AttemptId>,
+    started: u32,
+    attempts: u32,
+    refusals: u32,
+    crashes: u32,
+    delivered: u32,
+    stale: u64,
+}
+
+impl Stream {
+    /// A request without attempts.
+    pub fn new(id: impl Into<String>, policy: Policy) -> Self {
+        Self {
+            id: id.into(),
+            policy,
+            current: None,
+            started: 0,
+            attempts: 0,
+            refusals: 0,
+            crashes: 0,
+            delivered: 0,
+            stale: 0,
+        }
+    }
+
+    /// Starts an attempt; events of earlier ones are ignored from now on.
+    pub fn begin(&mut self) -> AttemptId {
+        self.started += 1;
+        let attempt: AttemptId = format!("{}.{}", self.id, self.started).into();
+        self.current = Some(attempt.clone());
+        attempt
+    }
+
+    /// Tokens that the caller has.
+    pub fn delivered(&self) -> u32 {
+        self.delivered
+    }
+
+    /// Endpoint crashes during this request.
+    pub fn crashes(&self) -> u32 {
+        self.crashes
+    }
+
+    /// Attempts that may have run.
+    pub fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    /// Events of attempts that were no longer current.
+    pub fn stale(&self) -> u64 {
+        self.stale
+    }
+
+    /// Takes an event of an attempt.
+    pub fn on(&mut self, now: Instant, attempt: &AttemptId, event: Event) -> Action {
+        if self.current.as_ref() != Some(attempt) {
+            self.stale += 1;
+            return Action::Ignore;
+        }
+        match event {
+            Event::Token { index, text } if index == self.delivered => {
+                self.delivered += 1;
+                Action::Deliver(text)
+            }
+            Event::Token { index, .. } if index < self.delivered => Action::Ignore,
+            Event::Token { index, .. } => {
+                let text = format!("token {index} came in place of {}", self.delivered);
+                self.broken(now, Refusal::new(Code::EndpointFailed, text), false)
+            }
+            Event::Done { tokens } if tokens == self.delivered => {
+                self.current = None;
+                Action::Complete
+            }
+            Event::Done { tokens } => {
+                let text = format!("the answer ended at token {} of {tokens}", self.delivered);
+                self.broken(now, Refusal::new(Code::EndpointFailed, text), false)
+            }
+            Event::Refused(refusal) => self.refused(now, refusal),
+            Event::Broken { refusal, crashed } => self.broken(now, refusal, crashed),
+        }
+    }
+
+    fn refused(&mut self, now: Instant, refusal: Refusal) -> Action {
+        self.current = None;
+        self.refusals += 1;
+        let last = MAX_REFUSALS <= self.refusals || self.policy.deadline <= now;
+        if last || refusal.code == Code::Quarantined {
+            return Action::Fail(self.outcome(refusal));
+        }
+        Action::Retry
+    }
+
+    fn broken(&mut self, now: Instant, refusal: Refusal, crashed: bool) -> Action {
+        self.current = None;
+        self.attempts += 1;
+        self.crashes += u32::from(crashed);
+        if self.policy.max_crashes <= self.crashes {
+            let text = format!("the request ran at {} endpoints that crashed", self.crashes);
+            return Action::Fail(self.outcome(Refusal::new(Code::Quarantined, text)));
+        }
+        if self.policy.max_attempts <= self.attempts || self.policy.deadline <= now {
+            return Action::Fail(self.outcome(refusal));
+        }
+        Action::Retry
+    }
+
+    /// Corrects what a refusal says by what earlier attempts may have done.
+    pub fn outcome(&self, refusal: Refusal) -> Refusal {
+        if self.delivered != 0 {
+            return refusal.outcome(Outcome::Ran);
+        }
+        if self.attempts != 0 {
+            return refusal.outcome(Outcome::Unknown);
+        }
+        refusal
+    }
+}
--- a/src/core/config/fold.rs
+++ b/src/core/config/fold.rs
@@ -4,12 +4,18 @@
 
 use crate::{
     core::{
-        config::{Action, Change, Exception, Item, ItemKind, Key, Record, Selector, State},
+        config::{
+            Action, Change, Crash, Exception, Item, ItemKind, Key, Record, Selector, State,
+            Suspect,
+        },
         ids::Offset,
     },
     errors::{Code, Refusal},
 };
 
+// Suspects that are remembered; the oldest are forgotten first.
+const MAX_SUSPECTS: usize = 1024;
+
 /// What the fold says of one record.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -73,6 +79,15 @@
                 self.advance(offset);
                 Verdict::NoChange
             }
+            Ok(Record::Crash(crash)) => {
+                self.crashed(offset, &crash);
+                Verdict::NoChange
+            }
+            Ok(Record::Cleared { fingerprint }) => {
+                self.advance(offset);
+                Arc::make_mut(&mut self.state).suspects.remove(&fingerprint);
+                Verdict::NoChange
+            }
             Err(err) => {
                 self.advance(offset);
                 let text = format!("record {offset} is not readable: {err}");
@@ -85,6 +100,23 @@
         Arc::make_mut(&mut self.state).revision = offset;
     }
 
+    fn crashed(&mut self, offset: Offset, crash: &Crash) {
+        self.advance(offset);
+        let suspects = &mut Arc::make_mut(&mut self.state).suspects;
+        for fingerprint in &crash.suspects {
+            let suspect = suspects.entry(*fingerprint).or_insert(Suspect { crashes: 0, at: 0 });
+            // One record counts once, however often it names the request.
+            if suspect.at < offset {
+                *suspect = Suspect { crashes: suspect.crashes + 1, at: offset };
+            }
+        }
+        while MAX_SUSPECTS < suspects.len() {
+            let oldest = suspects.iter().min_by_key(|(_, s)| s.at).map(|(f, _)| *f);
+            let Some(oldest) = oldest else { return };
+            suspects.remove(&oldest);
+        }
+    }
+
     fn change(&mut self, offset: Offset, change: Change) -> Verdict {
         match check(&self.state, &change) {
             Ok(mut next) => {
--- a/src/core/config/mod.rs
+++ b/src/core/config/mod.rs
@@ -12,5 +12,5 @@
 pub use fold::{Fold, Verdict};
 pub use item::{Item, ItemKind};
 pub use key::{Key, Selector};
-pub use record::{Action, Change, Record, Snapshot};
-pub use state::{Exception, Scope, State};
+pub use record::{Action, Change, Crash, Record, Snapshot};
+pub use state::{Exception, Scope, State, Suspect};
--- a/src/core/config/record.rs
+++ b/src/core/config/record.rs
@@ -16,6 +16,23 @@
     Change(Change),
     /// The folded state up to an offset.
     Snapshot(Snapshot),
+    /// An endpoint crashed.
+    Crash(Crash),
+    /// A suspected request ran to its end, or an operator releases it.
+    Cleared {
+        /// Fingerprint of the request.
+        fingerprint: u64,
+    },
+}
+
+/// An endpoint crashed while it ran requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Crash {
+    /// The endpoint.
+    pub endpoint: String,
+    /// Fingerprints of the requests that ran.
+    pub suspects: Vec<u64>,
 }
 
 /// A change by an operator.
--- a/src/core/config/state.rs
+++ b/src/core/config/state.rs
@@ -73,6 +73,18 @@
     pub items: BTreeMap<ItemKind, BTreeMap<String, Item>>,
     /// Offset of the last accepted change of each path.
     pub paths: BTreeMap<String, Offset>,
+    /// Requests that ran when endpoints crashed, by fingerprint.
+    #[serde(default)]
+    pub suspects: BTreeMap<u64, Suspect>,
+}
+
+/// A request that ran when endpoints crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// Crashes so far.
+    pub crashes: u32,
+    /// Offset of the last crash record that names it.
+    pub at: Offset,
 }
 
 impl State {
@@ -168,6 +180,11 @@
         misfits.map(|(n, _)| n.to_owned()).collect()
     }
 
+    /// Endpoint crashes during which a request ran.
+    pub fn crashes(&self, fingerprint: u64) -> u32 {
+        self.suspects.get(&fingerprint).map_or(0, |s| s.crashes)
+    }
+
     /// Revision of a path; 0 when it was never changed.
     pub fn path_revision(&self, path: &str) -> Offset {
         self.paths.get(path).copied().unwrap_or(0)
--- /dev/null
+++ b/src/core/routing/probe.rs
@@ -0,0 +1,73 @@
+//! The choice among agents that answered a probe.
+
+use std::time::Duration;
+
+use crate::core::{
+    ids::{EndpointId, Incarnation},
+    routing::Distance,
+};
+
+/// What an agent offers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Offer {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// How far it is.
+    pub distance: Distance,
+    /// Whether the agent would admit the request.
+    pub admits: bool,
+    /// Expected time until the first token, from the agent.
+    pub expected: Duration,
+    /// Whether the model is loaded.
+    pub resident: bool,
+    /// Start of the agent.
+    pub incarnation: Incarnation,
+    /// The agent's uptime at the probe, ms.
+    pub ticket_ms: u64,
+    /// Position in the order of affinity.
+    pub rank: usize,
+}
+
+// Wait that is accepted for a nearer endpoint or a warmer cache.
+const PER_RANK: Duration = Duration::from_millis(15);
+const NOT_RESIDENT: Duration = Duration::from_secs(5);
+
+fn penalty(distance: Distance) -> Duration {
+    match distance {
+        Distance::Zone => Duration::ZERO,
+        Distance::Region => Duration::from_millis(5),
+        Distance::Remote => Duration::from_millis(150),
+    }
+}
+
+fn cost(offer: &Offer) -> Duration {
+    let load = if offer.resident {
+        Duration::ZERO
+    } else {
+        NOT_RESIDENT
+    };
+    offer.expected + load + penalty(offer.distance) + PER_RANK * offer.rank.min(2) as u32
+}
+
+/// The cheapest offer that admits the request.
+///
+/// ```
+/// use std::time::Duration;
+/// use goldcrestpitch::core::routing::{Distance, Offer, choose};
+/// let offer = |name: &str, wait| Offer {
+///     endpoint: name.into(), distance: Distance::Zone, admits: true,
+///     expected: Duration::from_millis(wait), resident: true, incarnation: 1, ticket_ms: 0, rank: 0,
+/// };
+/// let offers = [offer("slow", 90), offer("fast", 20)];
+/// assert_eq!(&*choose(&offers).unwrap().endpoint, "fast");
+/// ```
+pub fn choose(offers: &[Offer]) -> Option<&Offer> {
+    offers.iter().filter(|o| o.admits).min_by_key(|o| cost(o))
+}
+
+impl Offer {
+    /// Whether the offer is good enough not to ask further endpoints.
+    pub fn is_good(&self, limit: Duration) -> bool {
+        self.admits && self.resident && self.expected <= limit
+    }
+}
--- /dev/null
+++ b/src/fakes/mod.rs
@@ -0,0 +1,12 @@
+//! Small stand-ins for the platform and for engines, for tests and the demo.
+
+mod engine;
+mod engine_http;
+mod log;
+mod service;
+mod vm_list;
+
+pub use engine::{EngineTraits, FakeEngine, WeightStore};
+pub use log::{FakeLog, LogFaults};
+pub use service::FakeService;
+pub use vm_list::FakeVmList;
--- /dev/null
+++ b/src/fleet/store.rs
@@ -0,0 +1,130 @@
+//! The configuration in force in one process.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use tokio::sync::watch;
+
+use crate::core::{
+    config::{Fold, State, Verdict},
+    ids::Offset,
+    placement::{Plan, static_plan},
+};
+
+// A process that could not confirm its revision for longer is not ready.
+const CONFIRM_LIMIT: Duration = Duration::from_secs(5);
+
+/// The configuration with the plan that follows from it.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The folded configuration.
+    pub state: Arc<State>,
+    /// Engines of each model.
+    pub plan: Arc<Plan>,
+}
+
+/// Shared by the parts of one process; the revision never goes back.
+#[derive(Debug)]
+pub struct ConfigStore {
+    fold: Mutex<Fold>,
+    view: watch::Sender<View>,
+    confirmed: Mutex<Option<Instant>>,
+    hinted: Mutex<Offset>,
+}
+
+impl Default for ConfigStore {
+    fn default() -> Self {
+        Self {
+            fold: Mutex::default(),
+            view: watch::channel(View::default()).0,
+            confirmed: Mutex::default(),
+            hinted: Mutex::default(),
+        }
+    }
+}
+
+impl ConfigStore {
+    /// The view in force.
+    pub fn view(&self) -> View {
+        self.view.borrow().clone()
+    }
+
+    /// Hears of each change.
+    pub fn subscribe(&self) -> watch::Receiver<View> {
+        self.view.subscribe()
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> Offset {
+        self.view.borrow().state.revision
+    }
+
+    /// Offset of the last snapshot in the log.
+    pub fn snapshot_at(&self) -> Offset {
+        lock(&self.fold).snapshot_at()
+    }
+
+    /// Folds records in, in the order of their offsets.
+    pub fn apply<'a>(
+        &self,
+        records: impl Iterator<Item = (Offset, &'a [u8])>,
+    ) -> Vec<(Offset, Verdict)> {
+        let mut fold = lock(&self.fold);
+        let verdicts: Vec<_> = records.map(|(at, bytes)| (at, fold.apply(at, bytes))).collect();
+        self.publish(fold.state());
+        verdicts
+    }
+
+    /// Takes a whole state unless it is older.
+    pub fn adopt(&self, state: State) -> bool {
+        let mut fold = lock(&self.fold);
+        let adopted = fold.adopt(state);
+        self.publish(fold.state());
+        adopted
+    }
+
+    /// Notes that the log or a peer confirmed the revision.
+    pub fn confirm(&self, now: Instant) {
+        *lock(&self.confirmed) = Some(now);
+    }
+
+    /// Notes a revision that another process has.
+    pub fn hint(&self, revision: Offset) {
+        let mut hinted = lock(&self.hinted);
+        *hinted = revision.max(*hinted);
+    }
+
+    /// Whether another process is known to have a later revision.
+    pub fn is_behind(&self) -> bool {
+        self.revision() < *lock(&self.hinted)
+    }
+
+    /// Whether there is a configuration that was confirmed lately.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        let confirmed = *lock(&self.confirmed);
+        let fresh = confirmed.is_some_and(|at| now < at + CONFIRM_LIMIT);
+        fresh && self.revision() != 0
+    }
+
+    fn publish(&self, state: &Arc<State>) {
+        self.view.send_if_modified(|view| {
+            if view.state.revision == state.revision {
+                return false;
+            }
+            let placement_changed =
+                view.state.items != state.items || view.state.exceptions != state.exceptions
+                    || view.state.defaults != state.defaults;
+            if placement_changed {
+                view.plan = Arc::new(static_plan(state));
+            }
+            view.state = state.clone();
+            true
+        });
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/src/http/mod.rs
@@ -0,0 +1,11 @@
+//! HTTP plumbing over hyper, for both sides.
+
+mod body;
+mod client;
+mod server;
+mod sse;
+
+pub use body::{Broken, ReplyBody, Sender};
+pub use client::{Client, ClientError};
+pub use server::{Reply, Stop, StopSignal, json, read_body, refusal, serve, stop_channel, text};
+pub use sse::SseParser;
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,142 @@
+//! An HTTP/1.1 and HTTP/2 server with graceful shutdown.
+
+use std::{convert::Infallible, future::Future, io, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body, Incoming},
+    header,
+    service::service_fn,
+};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::{conn::auto::Builder, graceful::GracefulShutdown},
+};
+use serde::Serialize;
+use tokio::{net::TcpListener, sync::watch, time};
+
+use crate::{
+    errors::{Code, Refusal},
+    http::{Broken, ReplyBody},
+};
+
+/// A reply to a caller.
+pub type Reply = Response<ReplyBody>;
+/// Tells servers and loops to stop.
+pub type StopSignal = watch::Sender<bool>;
+/// Hears of the stop.
+pub type Stop = watch::Receiver<bool>;
+
+const HEADER_LIMIT: Duration = Duration::from_secs(10);
+const MAX_HEADER_BYTES: usize = 32 * 1024;
+// A listener that is out of file handles must not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A signal that starts unset.
+pub fn stop_channel() -> (StopSignal, Stop) {
+    watch::channel(false)
+}
+
+/// Serves a listener until the stop is signalled and the requests in progress
+/// have ended. A handler that returns [`Broken`] closes the connection.
+///
+/// # Errors
+/// Nothing that a single connection does ends the server.
+pub async fn serve<H, F>(listener: TcpListener, handler: H, mut stop: Stop)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Result<Reply, Broken>> + Send + 'static,
+{
+    let mut builder = Builder::new(TokioExecutor::new());
+    let mut http1 = builder.http1();
+    http1.timer(TokioTimer::new()).header_read_timeout(HEADER_LIMIT);
+    http1.max_buf_size(MAX_HEADER_BYTES);
+    builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEADER_BYTES as u32);
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|s| *s) => break,
+        };
+        let Ok((socket, _)) = accepted else {
+            time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // Tokens are small and must not wait for a full segment.
+        let _: io::Result<()> = socket.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |req| handler(req));
+        let connection = builder.serve_connection(TokioIo::new(socket), service).into_owned();
+        let connection = graceful.watch(connection);
+        tokio::spawn(async move {
+            // A caller that closes its connection is no fault of ours.
+            let _ = connection.await;
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+/// Reads a request's body within a size and a time.
+///
+/// # Errors
+/// [`Code::BodyTooLarge`], [`Code::SlowSender`] or [`Code::MalformedBody`].
+pub async fn read_body<B>(body: B, max_bytes: usize, limit: Duration) -> Result<Bytes, Refusal>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let whole = Limited::new(body, max_bytes).collect();
+    let Ok(read) = time::timeout(limit, whole).await else {
+        let text = format!("the body did not arrive within {} ms", limit.as_millis());
+        return Err(Refusal::new(Code::SlowSender, text));
+    };
+    match read {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => {
+            let text = format!("the body is larger than {max_bytes} bytes");
+            Err(Refusal::new(Code::BodyTooLarge, text))
+        }
+        Err(err) => Err(Refusal::new(Code::MalformedBody, format!("the body broke off: {err}"))),
+    }
+}
+
+/// A JSON reply.
+pub fn json(status: StatusCode, document: &impl Serialize) -> Reply {
+    let body = serde_json::to_vec(document).unwrap_or_default();
+    reply(status, "application/json", body)
+}
+
+/// A plain text reply.
+pub fn text(status: StatusCode, body: impl Into<Bytes>) -> Reply {
+    reply(status, "text/plain; charset=utf-8", body)
+}
+
+/// The reply to a request that is refused.
+pub fn refusal(refusal: &Refusal) -> Reply {
+    let status = StatusCode::from_u16(refusal.code.status());
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut reply = reply(status, "application/json", refusal.to_json());
+    if let Some(delay) = refusal.retry_after {
+        // The header counts whole seconds; the body has the milliseconds.
+        let seconds = delay.as_millis().div_ceil(1000).max(1) as u64;
+        reply.headers_mut().insert(header::RETRY_AFTER, seconds.into());
+    }
+    reply
+}
+
+fn reply(status: StatusCode, content_type: &'static str, body: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(ReplyBody::whole(body));
+    *reply.status_mut() = status;
+    let value = header::HeaderValue::from_static(content_type);
+    reply.headers_mut().insert(header::CONTENT_TYPE, value);
+    reply
+}
+
+impl From<Infallible> for Broken {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,3 +5,8 @@
 
 pub mod core;
 pub mod errors;
+pub mod fakes;
+pub mod fleet;
+pub mod http;
+pub mod platform;
+pub mod rpc;
--- /dev/null
+++ b/src/platform/http_backend.rs
@@ -0,0 +1,148 @@
+//! The backend over HTTP: completions as server-sent events, orders and
+//! reports as JSON.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::{HeaderMap, Method, body::Incoming, header};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    core::orders::{Fencing, Order, OrderResult},
+    http::{Client, ClientError, SseParser},
+    platform::{Backend, BackendError, EngineReport, ServiceReply, TokenStream},
+};
+
+const REPORT_LIMIT: Duration = Duration::from_secs(1);
+// An order is answered when it is carried out; a load takes seconds.
+const ORDER_LIMIT: Duration = Duration::from_secs(60);
+const MAX_SERVICE_REPLY_BYTES: usize = 16 * 1024 * 1024;
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// An order with its number, as engines take it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NumberedOrder {
+    /// Its fencing number.
+    pub number: Fencing,
+    /// The order.
+    pub order: Order,
+}
+
+/// A client of a backend over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpBackend {
+    client: Client,
+}
+
+impl HttpBackend {
+    /// A client of the backend at an address.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { client: Client::new(address) }
+    }
+}
+
+impl From<ClientError> for BackendError {
+    fn from(err: ClientError) -> Self {
+        match err {
+            ClientError::NotSent(text) => Self::NotSent(text),
+            ClientError::Status(..) => Self::Refused(err.to_string()),
+            ClientError::NoAnswer(_) | ClientError::Malformed(_) => Self::Broken(err.to_string()),
+        }
+    }
+}
+
+/// Tokens of an answer over HTTP.
+#[derive(Debug)]
+pub struct HttpTokens {
+    body: Incoming,
+    parser: SseParser,
+}
+
+#[derive(Deserialize)]
+struct Chunk {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: Option<String>,
+    #[serde(default)]
+    delta: Option<Delta>,
+}
+
+#[derive(Deserialize)]
+struct Delta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+impl TokenStream for HttpTokens {
+    async fn next(&mut self) -> Result<Option<Bytes>, BackendError> {
+        loop {
+            if let Some(data) = self.parser.next() {
+                if data == "[DONE]" {
+                    return Ok(None);
+                }
+                return token(&data).map(Some);
+            }
+            let broken = |text: &str| BackendError::Broken(text.to_owned());
+            if MAX_EVENT_BYTES < self.parser.pending() {
+                return Err(broken("an event is larger than 1 MiB"));
+            }
+            let Some(frame) = self.body.frame().await else {
+                return Err(broken("the answer has no end"));
+            };
+            let frame = frame.map_err(|err| BackendError::Broken(err.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                self.parser.push(&data);
+            }
+        }
+    }
+}
+
+fn token(data: &[u8]) -> Result<Bytes, BackendError> {
+    let chunk: Chunk = serde_json::from_slice(data)
+        .map_err(|err| BackendError::Broken(format!("an event is not a chunk: {err}")))?;
+    let choice = chunk.choices.into_iter().next();
+    let text = choice.and_then(|c| c.text.or(c.delta.and_then(|d| d.content)));
+    Ok(text.unwrap_or_default().into())
+}
+
+impl Backend for HttpBackend {
+    type Tokens = HttpTokens;
+
+    async fn report(&self) -> Result<EngineReport, BackendError> {
+        Ok(self.client.get_json("/state", REPORT_LIMIT).await?)
+    }
+
+    async fn order(&self, number: Fencing, order: &Order) -> Result<OrderResult, BackendError> {
+        let order = NumberedOrder { number, order: order.clone() };
+        Ok(self.client.post_json("/order", &order, ORDER_LIMIT).await?)
+    }
+
+    async fn complete(&self, path: &str, body: Bytes) -> Result<HttpTokens, BackendError> {
+        let reply = self.client.send(Method::POST, path, json_headers(), body).await?;
+        if reply.status().is_success() {
+            return Ok(HttpTokens { body: reply.into_body(), parser: SseParser::default() });
+        }
+        Err(BackendError::Refused(format!("status {}", reply.status())))
+    }
+
+    async fn call(&self, path: &str, body: Bytes) -> Result<ServiceReply, BackendError> {
+        let reply = self.client.send(Method::POST, path, json_headers(), body).await?;
+        let status = reply.status().as_u16();
+        let content_type = reply.headers().get(header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
+        let body = Limited::new(reply.into_body(), MAX_SERVICE_REPLY_BYTES).collect().await;
+        let body = body.map_err(|err| BackendError::Broken(err.to_string()))?.to_bytes();
+        Ok(ServiceReply { status, content_type, body })
+    }
+}
+
+fn json_headers() -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+    headers
+}
