--- /dev/null
+++ b/src/agent/process.rs
@@ -0,0 +1,159 @@
+//! Starts an agent's parts and stops them gracefully.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use log::info;
+use tokio::{net::TcpListener, task::JoinHandle};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::{
+    agent::{
+        rpc::AgentRpc,
+        shared::{Identity, Shared},
+    },
+    core::ids::EndpointId,
+    fleet::{ConfigStore, Follower, watch_vms},
+    http::{StopSignal, stop_channel},
+    platform::{Backend, Log, VmList},
+    rpc::{Channels, pb::agent_server::AgentServer},
+    timers::Timers,
+};
+
+const PUMP_EVERY: Duration = Duration::from_millis(50);
+
+/// A running agent.
+pub struct AgentProcess<B, L> {
+    shared: Arc<Shared<B, L>>,
+    stop: StopSignal,
+    address: SocketAddr,
+    server: JoinHandle<()>,
+}
+
+/// Starts an agent on a listener.
+pub fn start<B: Backend, L: Log, V: VmList>(
+    endpoint: EndpointId,
+    listener: TcpListener,
+    backend: B,
+    log: L,
+    vms: V,
+) -> std::io::Result<AgentProcess<B, L>> {
+    let address = listener.local_addr()?;
+    let (signal, stop) = stop_channel();
+    let store = Arc::new(ConfigStore::default());
+    let identity = Identity {
+        endpoint,
+        incarnation: incarnation(),
+    };
+    info!(
+        "event=agent_start endpoint={} incarnation={}",
+        identity.endpoint, identity.incarnation
+    );
+    let follower = Follower::new(
+        log.clone(),
+        store.clone(),
+        watch_vms(vms, stop.clone()),
+        Channels::default(),
+        None,
+    );
+    let shared = Arc::new(Shared::new(identity, store, backend, log, stop.clone()));
+    let timers = Timers::start();
+    tokio::spawn(follower.run(stop.clone()));
+    tokio::spawn(shared.clone().order_loop(timers.clone()));
+    tokio::spawn(shared.clone().configuration_loop());
+    tokio::spawn(shared.clone().pump_loop(timers));
+    let rpc = AgentRpc {
+        shared: shared.clone(),
+    };
+    let mut stopped = stop;
+    let server = Server::builder()
+        .tcp_nodelay(true)
+        .add_service(AgentServer::new(rpc))
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+            let _ = stopped.wait_for(|s| *s).await;
+        });
+    let server = tokio::spawn(async move {
+        // Single connections that fail do not end the server.
+        let _ = server.await;
+    });
+    Ok(AgentProcess {
+        shared,
+        stop: signal,
+        address,
+        server,
+    })
+}
+
+impl<B: Backend, L: Log> AgentProcess<B, L> {
+    /// Address of the agent's RPCs.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The agent's configuration.
+    pub fn store(&self) -> &Arc<ConfigStore> {
+        &self.shared.store
+    }
+
+    /// Refuses new work and returns when all that ran has ended.
+    pub async fn drain(&self) {
+        self.shared.drain();
+        self.shared.drained().await;
+    }
+
+    /// Stops after a graceful shutdown.
+    pub async fn stop(self) {
+        self.drain().await;
+        self.stop.send_replace(true);
+        // The server ends when its last answers are sent.
+        let _ = self.server.await;
+    }
+
+    /// Stops at once, as when the VM fails.
+    pub fn kill(self) {
+        self.stop.send_replace(true);
+        self.server.abort();
+        self.shared.lock().draining = true;
+    }
+}
+
+impl<B: Backend, L: Log> Shared<B, L> {
+    async fn configuration_loop(self: Arc<Self>) {
+        let mut view = self.store.subscribe();
+        let mut stop = self.stop.clone();
+        loop {
+            self.configure();
+            self.work.notify_one();
+            self.pump();
+            tokio::select! {
+                changed = view.changed() => if changed.is_err() { return },
+                _ = stop.wait_for(|s| *s) => return,
+            }
+        }
+    }
+
+    async fn pump_loop(self: Arc<Self>, timers: Timers) {
+        let mut ticks = timers.every(PUMP_EVERY);
+        let mut stop = self.stop.clone();
+        loop {
+            tokio::select! {
+                () = ticks.next() => self.pump(),
+                _ = stop.wait_for(|s| *s) => return,
+            }
+        }
+    }
+}
+
+/// Milliseconds of the clock: larger for a later start. Only one agent can
+/// stand beside an endpoint, since it holds the listening address. An engine
+/// that has seen a larger number says so, and the controller passes it.
+fn incarnation() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    since.as_millis() as u64
+}
--- /dev/null
+++ b/src/agent/residency.rs
@@ -0,0 +1,272 @@
+//! Gets the models of requests and of the plan loaded, and makes room.
+
+use std::{
+    cmp::Reverse,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tokio::time;
+
+use crate::{
+    agent::shared::{Core, Shared},
+    core::{
+        config::{Item, ItemKind, Key, Scope},
+        ids::Mib,
+        memory::{Residency, Resource},
+        orders::Role,
+        placement::needs,
+    },
+    errors::{Code, Refusal},
+    fleet::View,
+};
+
+// A model that is loaded outside the plan stays for so long after its last request.
+const ON_DEMAND_STAYS: Duration = Duration::from_secs(60);
+const RECHECK: Duration = Duration::from_millis(100);
+const RETRY_NOT_RESIDENT: Duration = Duration::from_secs(2);
+
+impl<B, L> Shared<B, L> {
+    /// Waits until resources are loaded and holds them.
+    ///
+    /// # Errors
+    /// [`Code::NotResident`] when they cannot be made to fit or are not there in time.
+    pub(super) async fn ensure(
+        self: &Arc<Self>,
+        needed: &[(Resource, Mib)],
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
+        loop {
+            let changed = self.changed.notified();
+            {
+                let view = self.store.view();
+                let mut core = self.lock();
+                if core.all_resident(needed) {
+                    core.hold(Instant::now(), needed);
+                    return Ok(());
+                }
+                core.want(&view, &self.identity.endpoint, needed)?;
+            }
+            self.work.notify_one();
+            if deadline <= Instant::now() {
+                return Err(not_resident("the model was not loaded before the deadline"));
+            }
+            let _ = time::timeout(RECHECK, changed).await;
+        }
+    }
+
+    /// Orders what the plan places here, as far as there is room, and the KV cache.
+    pub(super) fn follow_plan(&self) {
+        let view = self.store.view();
+        let Some((memory, None)) = self.endpoint() else {
+            return;
+        };
+        let endpoint = &self.identity.endpoint;
+        let percent = view
+            .state
+            .value(Key::KvReservePercent, &Scope::endpoint(endpoint));
+        let mut core = self.lock();
+        if !core.controller.as_ref().is_some_and(|c| c.is_running()) {
+            return;
+        }
+        core.reserve_kv_cache(memory * percent / 100);
+        for model in view.plan.models_of(endpoint) {
+            let Ok(needed) = needs(&view.state, model) else {
+                continue;
+            };
+            core.load_planned(&view, endpoint, &needed);
+        }
+        core.retire_old(&view);
+    }
+}
+
+impl Core {
+    /// Loads resources, making room where that is allowed.
+    fn want(
+        &mut self,
+        view: &View,
+        endpoint: &str,
+        needed: &[(Resource, Mib)],
+    ) -> Result<(), Refusal> {
+        for (resource, size) in needed {
+            let Some(controller) = &mut self.controller else {
+                return Ok(());
+            };
+            if !controller.is_running() {
+                return Ok(());
+            }
+            let Err(no_room) = controller.load(resource.clone(), *size) else {
+                continue;
+            };
+            let moving = |r: Residency| r != Residency::Resident;
+            let busy = controller
+                .ledger()
+                .slots()
+                .any(|(_, s)| moving(s.residency));
+            let freed = self.make_room(view, endpoint, no_room.missing, needed);
+            if !freed && !busy {
+                return Err(not_resident(&format!(
+                    "{} MiB are missing",
+                    no_room.missing
+                )));
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether resources could be loaded now or after allowed unloads.
+    pub(super) fn could_hold(
+        &self,
+        view: &View,
+        endpoint: &str,
+        needed: &[(Resource, Mib)],
+    ) -> bool {
+        let Some(controller) = &self.controller else {
+            return needed.is_empty();
+        };
+        let ledger = controller.ledger();
+        let missing: Mib = needed
+            .iter()
+            .filter(|(r, _)| ledger.slot(r).is_none())
+            .map(|(_, s)| s)
+            .sum();
+        if missing <= ledger.free() {
+            return true;
+        }
+        let victims = self.victims(view, endpoint, needed);
+        let idle: Mib = victims.iter().map(|(_, size)| size).sum();
+        missing <= ledger.free() + idle
+    }
+
+    /// Unloads idle resources that may go, the least recently used first.
+    fn make_room(
+        &mut self,
+        view: &View,
+        endpoint: &str,
+        missing: Mib,
+        needed: &[(Resource, Mib)],
+    ) -> bool {
+        let victims = self.victims(view, endpoint, needed);
+        let idle: Mib = victims.iter().map(|(_, size)| size).sum();
+        if idle < missing {
+            return false;
+        }
+        let mut freed = 0;
+        for (resource, size) in victims {
+            if missing <= freed {
+                break;
+            }
+            freed += size;
+            if let Some(controller) = &mut self.controller {
+                controller.unload(&resource);
+            }
+        }
+        true
+    }
+
+    /// Idle resources that may be unloaded. The only planned replica of a model never is.
+    fn victims(
+        &self,
+        view: &View,
+        endpoint: &str,
+        needed: &[(Resource, Mib)],
+    ) -> Vec<(Resource, Mib)> {
+        let Some(controller) = &self.controller else {
+            return Vec::new();
+        };
+        let replicas_left = |resource: &Resource| match resource {
+            Resource::Model { name, .. } if view.plan.places(name, endpoint) => {
+                view.plan.engines_of(name).len() - 1
+            }
+            Resource::KvCache => 0,
+            Resource::Model { .. } | Resource::Adapter { .. } => usize::MAX,
+        };
+        let mut idle: Vec<(Resource, Mib)> = controller
+            .ledger()
+            .slots()
+            .filter(|(r, s)| s.residency == Residency::Resident && !self.in_use.contains_key(r))
+            .filter(|(r, _)| replicas_left(r) != 0 && !needed.iter().any(|(n, _)| n == *r))
+            .map(|(r, s)| (r.clone(), s.size))
+            .collect();
+        idle.sort_by_key(|(r, _)| (Reverse(replicas_left(r)), self.last_used.get(r).copied()));
+        idle
+    }
+
+    fn reserve_kv_cache(&mut self, size: Mib) {
+        let Some(controller) = &mut self.controller else {
+            return;
+        };
+        let held = controller.ledger().slot(&Resource::KvCache);
+        if held.is_none_or(|s| s.size != size && s.residency == Residency::Resident) {
+            // Without room it is tried again after the next change.
+            let _ = controller.set_role(Role::Mixed, size);
+        }
+    }
+
+    fn load_planned(&mut self, view: &View, endpoint: &str, needed: &[(Resource, Mib)]) {
+        let Some(controller) = &mut self.controller else {
+            return;
+        };
+        let [(resource, size)] = needed else { return };
+        let Err(no_room) = controller.load(resource.clone(), *size) else {
+            return;
+        };
+        if controller.ledger().slot(resource).is_some() {
+            return;
+        }
+        // What was loaded on demand goes once it is idle for long enough.
+        let now = Instant::now();
+        let stale = |r: &Resource| {
+            let used = self.last_used.get(r);
+            used.is_none_or(|at| *at + ON_DEMAND_STAYS < now)
+        };
+        let victims = self.victims(view, endpoint, needed);
+        let unplanned = victims.into_iter().filter(|(r, _)| match r {
+            Resource::Model { name, .. } => !view.plan.places(name, endpoint) && stale(r),
+            Resource::Adapter { .. } => stale(r),
+            Resource::KvCache => false,
+        });
+        let mut freed = 0;
+        for (resource, size) in unplanned.collect::<Vec<_>>() {
+            if no_room.missing <= freed {
+                return;
+            }
+            freed += size;
+            if let Some(controller) = &mut self.controller {
+                controller.unload(&resource);
+            }
+        }
+    }
+
+    /// Unloads versions that are no longer in force once the new one is loaded.
+    fn retire_old(&mut self, view: &View) {
+        let Some(controller) = &mut self.controller else {
+            return;
+        };
+        let current = |name: &str| match view.state.item(ItemKind::Model, name) {
+            Some(Item::Model { version, .. }) => Some(*version),
+            _ => None,
+        };
+        let old: Vec<Resource> = controller
+            .ledger()
+            .slots()
+            .filter_map(|(resource, _)| match resource {
+                Resource::Model { name, version } => match current(name) {
+                    Some(v) if v == *version => None,
+                    Some(v) if !controller.is_resident(&Resource::model(name, v)) => None,
+                    _ => Some(resource.clone()),
+                },
+                _ => None,
+            })
+            .collect();
+        for resource in old {
+            if !self.in_use.contains_key(&resource) {
+                controller.unload(&resource);
+            }
+        }
+    }
+}
+
+fn not_resident(text: &str) -> Refusal {
+    Refusal::new(Code::NotResident, text).retry_after(RETRY_NOT_RESIDENT)
+}
--- a/src/core/config/fold.rs
+++ b/src/core/config/fold.rs
@@ -5,8 +5,7 @@
 use crate::{
     core::{
         config::{
-            Action, Change, Crash, Exception, Item, ItemKind, Key, Record, Selector, State,
-            Suspect,
+            Action, Change, Crash, Exception, Item, ItemKind, Key, Record, Selector, State, Suspect,
         },
         ids::Offset,
     },
@@ -104,10 +103,15 @@
         self.advance(offset);
         let suspects = &mut Arc::make_mut(&mut self.state).suspects;
         for fingerprint in &crash.suspects {
-            let suspect = suspects.entry(*fingerprint).or_insert(Suspect { crashes: 0, at: 0 });
+            let suspect = suspects
+                .entry(*fingerprint)
+                .or_insert(Suspect { crashes: 0, at: 0 });
             // One record counts once, however often it names the request.
             if suspect.at < offset {
-                *suspect = Suspect { crashes: suspect.crashes + 1, at: offset };
+                *suspect = Suspect {
+                    crashes: suspect.crashes + 1,
+                    at: offset,
+                };
             }
         }
         while MAX_SUSPECTS < suspects.len() {
--- a/src/core/idempotency/book.rs
+++ b/src/core/idempotency/book.rs
@@ -2,13 +2,15 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::core::{
     idempotency::{Answer, Claim, ClaimRecord},
     ids::Offset,
 };
 
 /// How the claim that holds a key stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
     /// Its attempt may run, be running or have run.
     Open,
@@ -19,7 +21,7 @@
 }
 
 /// The claim that holds a key.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Held {
     /// Offset of the claim.
     pub offset: Offset,
--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -1,7 +1,9 @@
 //! Which engine holds which model.
 
+mod needs;
 mod plan;
 mod static_plan;
 
+pub use needs::needs;
 pub use plan::Plan;
 pub use static_plan::static_plan;
--- /dev/null
+++ b/src/entry/driver.rs
@@ -0,0 +1,319 @@
+//! Drives the attempts of a request that may be repeated. Whoever pulls the
+//! pieces sets the pace: nothing is buffered for a slow reader.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use log::debug;
+use metrics::counter;
+use serde_json::{Map, Value, json};
+use tokio::time;
+use tonic::Streaming;
+
+use crate::{
+    core::{
+        attempt::{Action, Event, Policy, Stream},
+        config::Key,
+        ids::{AttemptId, EndpointId},
+        routing::Distance,
+    },
+    entry::{caller::Caller, probe::Wanted, shared::Shared},
+    errors::{Code, Outcome, Refusal},
+    rpc::pb::{RunFrame, RunRequest, agent_client::AgentClient, run_frame::Body},
+    telemetry::names,
+};
+
+// Time for which a request without any endpoint is kept before it is given up.
+const SEARCH_LIMIT: Duration = Duration::from_secs(3);
+const SEARCH_AGAIN: Duration = Duration::from_millis(200);
+// Time that an agent has after the deadline to say how the attempt ended.
+const DEADLINE_GRACE: Duration = Duration::from_millis(200);
+
+/// A part of the answer.
+#[derive(Debug)]
+pub(super) enum Piece {
+    Token(Bytes),
+    Complete,
+    Failed(Refusal),
+}
+
+/// One request that may be repeated.
+pub(super) struct Driver<L> {
+    shared: Arc<Shared<L>>,
+    caller: Caller,
+    target: String,
+    path: String,
+    body: Map<String, Value>,
+    text: String,
+    affinity: u64,
+    fingerprint: u64,
+    stream: Stream,
+    excluded: Vec<EndpointId>,
+    open: Option<Open>,
+}
+
+struct Open {
+    attempt: AttemptId,
+    endpoint: EndpointId,
+    remote: bool,
+    frames: Streaming<RunFrame>,
+}
+
+/// A request as a driver takes it.
+pub(super) struct Call {
+    pub(super) id: String,
+    pub(super) target: String,
+    pub(super) path: String,
+    pub(super) body: Map<String, Value>,
+    pub(super) affinity: u64,
+    pub(super) fingerprint: u64,
+}
+
+impl<L> Driver<L> {
+    pub(super) fn new(shared: Arc<Shared<L>>, caller: Caller, call: Call) -> Self {
+        let view = shared.store.view();
+        let scope = caller.scope(&call.target);
+        let policy = Policy {
+            max_attempts: view.state.value(Key::MaxAttempts, &scope) as u32,
+            max_crashes: view.state.value(Key::QuarantineCrashes, &scope) as u32,
+            deadline: caller.deadline,
+        };
+        Self {
+            shared,
+            caller,
+            target: call.target,
+            path: call.path,
+            body: call.body,
+            text: String::new(),
+            affinity: call.affinity,
+            fingerprint: call.fingerprint,
+            stream: Stream::new(call.id, policy),
+            excluded: Vec::new(),
+            open: None,
+        }
+    }
+
+    /// Attempts that may have run so far, the current one left out.
+    pub(super) fn attempts(&self) -> u32 {
+        self.stream.attempts()
+    }
+
+    /// The next part of the answer.
+    pub(super) async fn next(&mut self) -> Piece {
+        loop {
+            if self.open.is_none() {
+                if let Err(refusal) = self.begin().await {
+                    return Piece::Failed(self.stream.outcome(refusal));
+                }
+            }
+            let Some((attempt, event)) = self.receive().await else {
+                continue;
+            };
+            match self.stream.on(Instant::now(), &attempt, event) {
+                Action::Deliver(text) => {
+                    self.text.push_str(&String::from_utf8_lossy(&text));
+                    return Piece::Token(text);
+                }
+                Action::Complete => return Piece::Complete,
+                Action::Fail(refusal) => return Piece::Failed(refusal),
+                Action::Ignore => counter!(names::STALE_FRAMES).increment(1),
+                Action::Retry => {
+                    if let Err(refusal) = self.close_for_retry() {
+                        return Piece::Failed(refusal);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Opens an attempt at the endpoint with the best offer.
+    async fn begin(&mut self) -> Result<(), Refusal> {
+        let (candidate, offer) = self.search().await?;
+        let attempt = self.stream.begin();
+        debug!(
+            "event=attempt attempt={attempt} endpoint={}",
+            candidate.endpoint
+        );
+        let request = RunRequest {
+            revision: self.shared.store.revision(),
+            attempt: attempt.to_string(),
+            target: self.target.clone(),
+            tenant: self.caller.tenant.to_string(),
+            class: self.caller.class.to_string(),
+            deadline_ms: self.caller.left().as_millis() as u32,
+            path: self.path.clone(),
+            body: self.request_body(),
+            resume_tokens: self.stream.delivered(),
+            incarnation: offer.incarnation,
+            ticket_ms: offer.ticket_ms,
+            fingerprint: self.fingerprint,
+            crashes: self.stream.crashes(),
+            at_most_once: false,
+        };
+        let mut client = AgentClient::new(self.shared.channels.to(candidate.agent));
+        let remote = candidate.distance == Distance::Remote;
+        let endpoint = candidate.endpoint;
+        match time::timeout(self.caller.left(), client.run(request)).await {
+            Ok(Ok(reply)) => {
+                let frames = reply.into_inner();
+                self.open = Some(Open {
+                    attempt,
+                    endpoint,
+                    remote,
+                    frames,
+                });
+                Ok(())
+            }
+            Ok(Err(status)) => {
+                self.shared.health().failed(Instant::now(), &endpoint);
+                self.excluded.push(endpoint);
+                let refusal = Refusal::new(Code::EndpointFailed, status.message());
+                let broken = Event::Broken {
+                    refusal,
+                    crashed: false,
+                };
+                match self.stream.on(Instant::now(), &attempt, broken) {
+                    Action::Fail(refusal) => Err(refusal),
+                    _ => self.may_retry("unreachable"),
+                }
+            }
+            Err(_) => {
+                let text = "no endpoint took the request before its deadline";
+                Err(Refusal::new(Code::DeadlineExceeded, text))
+            }
+        }
+    }
+
+    /// Looks for an endpoint, again for a while when there is none.
+    async fn search(
+        &mut self,
+    ) -> Result<(crate::core::routing::Candidate, crate::core::routing::Offer), Refusal> {
+        let until = (Instant::now() + SEARCH_LIMIT).min(self.caller.deadline);
+        loop {
+            let wanted = Wanted {
+                target: &self.target,
+                caller: &self.caller,
+                affinity: self.affinity,
+                exclude: &self.excluded,
+            };
+            let refusal = match self.shared.choose(&wanted).await {
+                Ok(found) => return Ok(found),
+                Err(refusal) => refusal,
+            };
+            if until <= Instant::now() + SEARCH_AGAIN {
+                return Err(refusal);
+            }
+            time::sleep(SEARCH_AGAIN).await;
+            // Who refused before may admit now.
+            self.excluded.clear();
+        }
+    }
+
+    /// Waits for a frame; nothing when one carries no event.
+    async fn receive(&mut self) -> Option<(AttemptId, Event)> {
+        let open = self.open.as_mut()?;
+        let limit = self.caller.left() + DEADLINE_GRACE;
+        let received = time::timeout(limit, open.frames.message()).await;
+        let broken = |code, text: &str| Event::Broken {
+            refusal: Refusal::new(code, text),
+            crashed: false,
+        };
+        let current = open.attempt.clone();
+        let frame = match received {
+            Err(_) => {
+                return Some((
+                    current,
+                    broken(Code::DeadlineExceeded, "the deadline passed"),
+                ));
+            }
+            Ok(Err(status)) => {
+                return Some((current, broken(Code::EndpointFailed, status.message())));
+            }
+            Ok(Ok(None)) => {
+                return Some((
+                    current,
+                    broken(Code::EndpointFailed, "the answer broke off"),
+                ));
+            }
+            Ok(Ok(Some(frame))) => frame,
+        };
+        // The id of the frame itself counts, not that of the connection it came by.
+        let attempt: AttemptId = frame.attempt.as_str().into();
+        let remote = open.remote;
+        let event = match frame.body? {
+            Body::Started(_) | Body::Response(_) => return None,
+            Body::Token(token) => {
+                if remote {
+                    counter!(names::CROSS_REGION).increment(token.text.len() as u64);
+                }
+                Event::Token {
+                    index: token.index,
+                    text: token.text,
+                }
+            }
+            Body::Done(done) => Event::Done {
+                tokens: done.tokens,
+            },
+            Body::Refused(refused) => Event::Refused(refusal(refused)),
+            Body::Failed(failed) => {
+                let code = Code::from_number(failed.code).unwrap_or(Code::EndpointFailed);
+                let refusal = Refusal::new(code, failed.message);
+                Event::Broken {
+                    refusal,
+                    crashed: failed.crashed,
+                }
+            }
+        };
+        Some((attempt, event))
+    }
+
+    fn close_for_retry(&mut self) -> Result<(), Refusal> {
+        if let Some(open) = self.open.take() {
+            self.excluded.push(open.endpoint);
+        }
+        self.may_retry("broken")
+    }
+
+    fn may_retry(&self, reason: &'static str) -> Result<(), Refusal> {
+        // A refusal cost the endpoint nothing and takes nothing from the budget.
+        let free = self.stream.attempts() == 0;
+        let now = Instant::now();
+        if free || self.shared.limits().may_retry(now, &self.caller.tenant) {
+            counter!(names::RETRIES, "reason" => reason).increment(1);
+            return Ok(());
+        }
+        let text = format!(
+            "the retry budget of tenant {:?} is used up",
+            self.caller.tenant
+        );
+        let outcome = if self.stream.delivered() != 0 {
+            Outcome::Ran
+        } else {
+            Outcome::Unknown
+        };
+        Err(Refusal::new(Code::EndpointFailed, text).outcome(outcome))
+    }
+
+    fn request_body(&self) -> Bytes {
+        let tokens = self.stream.delivered();
+        if tokens == 0 {
+            return serde_json::to_vec(&self.body).unwrap_or_default().into();
+        }
+        let mut body = self.body.clone();
+        body.insert(
+            "resume".to_owned(),
+            json!({ "tokens": tokens, "text": self.text }),
+        );
+        serde_json::to_vec(&body).unwrap_or_default().into()
+    }
+}
+
+/// A refusal as it came; one of a later version keeps its words.
+pub(super) fn refusal(wire: crate::rpc::pb::Refused) -> Refusal {
+    let message = wire.message.clone();
+    Refusal::try_from(wire)
+        .unwrap_or_else(|code| Refusal::new(Code::NoEndpoint, format!("code {code}: {message}")))
+}
--- /dev/null
+++ b/src/entry/partition.rs
@@ -0,0 +1,260 @@
+//! One claim stream: batches appends and folds what is read.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use log::warn;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+use crate::{
+    core::{
+        idempotency::{Book, Claim, ClaimRecord, ClaimVerdict},
+        ids::Offset,
+    },
+    platform::{AppendError, Log, ReadError},
+};
+
+// Claims that come within this time share an append.
+const LINGER: Duration = Duration::from_millis(20);
+const MAX_BATCH: usize = 256;
+// Positions in a claim stream count records and, within one, claims.
+const CLAIMS_PER_RECORD: Offset = 4096;
+const READ_BACK_LIMIT: Duration = Duration::from_millis(1500);
+const READ_AGAIN: Duration = Duration::from_millis(50);
+const WAITING_REQUESTS: usize = 4096;
+
+enum Job {
+    Claim(Claim, oneshot::Sender<ClaimVerdict>),
+    Look(String, oneshot::Sender<ClaimVerdict>),
+    Tell(ClaimRecord),
+}
+
+/// Handle of the task that keeps one partition.
+#[derive(Clone, Debug)]
+pub(super) struct Partition {
+    jobs: mpsc::Sender<Job>,
+}
+
+impl Partition {
+    /// Starts the task; it reads the stream when the first job comes.
+    pub(super) fn start<L: Log>(log: L, number: u64) -> Self {
+        let (jobs, rx) = mpsc::channel(WAITING_REQUESTS);
+        let keeper = Keeper {
+            log,
+            stream: format!("claims-{number}"),
+            book: Book::default(),
+            next: 1,
+        };
+        tokio::spawn(keeper.run(rx));
+        Self { jobs }
+    }
+
+    pub(super) async fn claim(&self, claim: Claim) -> ClaimVerdict {
+        let (tx, rx) = oneshot::channel();
+        self.ask(Job::Claim(claim, tx), rx).await
+    }
+
+    pub(super) async fn look(&self, key: String) -> ClaimVerdict {
+        let (tx, rx) = oneshot::channel();
+        self.ask(Job::Look(key, tx), rx).await
+    }
+
+    pub(super) fn tell(&self, record: ClaimRecord) {
+        if self.jobs.try_send(Job::Tell(record)).is_err() {
+            warn!("event=claim_record_dropped reason=busy");
+        }
+    }
+
+    async fn ask(&self, job: Job, rx: oneshot::Receiver<ClaimVerdict>) -> ClaimVerdict {
+        if self.jobs.send(job).await.is_err() {
+            return ClaimVerdict::Unavailable;
+        }
+        rx.await.unwrap_or(ClaimVerdict::Unavailable)
+    }
+}
+
+struct Keeper<L> {
+    log: L,
+    stream: String,
+    book: Book,
+    /// Offset of the next record to read.
+    next: Offset,
+}
+
+impl<L: Log> Keeper<L> {
+    async fn run(mut self, mut jobs: mpsc::Receiver<Job>) {
+        while let Some(first) = jobs.recv().await {
+            let batch = gather(first, &mut jobs).await;
+            self.handle(batch).await;
+        }
+    }
+
+    async fn handle(&mut self, batch: Vec<Job>) {
+        let records: Vec<ClaimRecord> = batch.iter().filter_map(record).collect();
+        let appended = match records.is_empty() {
+            true => Ok(None),
+            false => self.append(&records).await.map(Some),
+        };
+        let wanted: Vec<&Claim> = batch.iter().filter_map(claim).collect();
+        let read = match &appended {
+            Ok(Some(offset)) => self.read_to(*offset).await,
+            Ok(None) => self.read_to_end().await,
+            Err(AppendError::Refused(text)) => {
+                warn!("event=claims_refused stream={} error={text:?}", self.stream);
+                false
+            }
+            // A lost answer is settled by reading the records back.
+            Err(AppendError::Uncertain(_)) => self.read_back(&wanted).await,
+        };
+        for job in batch {
+            match job {
+                Job::Claim(claim, tx) => {
+                    // Who went away is not waiting for its verdict.
+                    let _ = tx.send(self.verdict(&claim, read));
+                }
+                Job::Look(key, tx) => {
+                    let held = self.book.holder(&key).cloned();
+                    let found = held.map_or(ClaimVerdict::Free, |h| ClaimVerdict::Held(h.into()));
+                    let _ = tx.send(if read {
+                        found
+                    } else {
+                        ClaimVerdict::Unavailable
+                    });
+                }
+                Job::Tell(_) => {}
+            }
+        }
+    }
+
+    fn verdict(&self, claim: &Claim, read: bool) -> ClaimVerdict {
+        match self.book.holder(&claim.key) {
+            Some(held) if held.claim.attempt == claim.attempt => ClaimVerdict::Won(held.offset),
+            Some(held) if read => ClaimVerdict::Held(held.clone().into()),
+            _ => ClaimVerdict::Unavailable,
+        }
+    }
+
+    async fn append(&self, records: &[ClaimRecord]) -> Result<Offset, AppendError> {
+        let payload: Bytes = serde_json::to_vec(records).unwrap_or_default().into();
+        self.log.append(&self.stream, payload).await
+    }
+
+    /// Reads until the record at an offset is folded in.
+    async fn read_to(&mut self, offset: Offset) -> bool {
+        let until = Instant::now() + READ_BACK_LIMIT;
+        while self.next <= offset {
+            if until <= Instant::now() {
+                return false;
+            }
+            if self.read().await.is_none() {
+                time::sleep(READ_AGAIN).await;
+            }
+        }
+        true
+    }
+
+    /// Reads all that the stream has now.
+    async fn read_to_end(&mut self) -> bool {
+        let until = Instant::now() + READ_BACK_LIMIT;
+        while Instant::now() < until {
+            match self.read().await {
+                Some(end) if end <= self.next => return true,
+                Some(_) => {}
+                None => time::sleep(READ_AGAIN).await,
+            }
+        }
+        false
+    }
+
+    /// Reads until all claims stand in the book or the time is up.
+    async fn read_back(&mut self, wanted: &[&Claim]) -> bool {
+        let until = Instant::now() + READ_BACK_LIMIT;
+        while Instant::now() < until {
+            let read = self.read().await.is_some();
+            let book = &self.book;
+            let found = |c: &&Claim| {
+                book.holder(&c.key)
+                    .is_some_and(|held| held.claim.attempt == c.attempt)
+            };
+            if read && wanted.iter().all(found) {
+                return true;
+            }
+            time::sleep(READ_AGAIN).await;
+        }
+        // Claims that others hold are certain; one's own that are missing are not.
+        false
+    }
+
+    /// Reads one page and returns the end of the stream; nothing when the log does not answer.
+    async fn read(&mut self) -> Option<Offset> {
+        match self.log.read(&self.stream, self.next, Duration::ZERO).await {
+            Ok(page) => {
+                for record in &page.records {
+                    self.fold(record.offset, &record.payload);
+                    self.next = record.offset + 1;
+                }
+                self.book.expire(page.first * CLAIMS_PER_RECORD);
+                Some(page.end)
+            }
+            Err(ReadError::Expired { first }) => {
+                self.next = first;
+                self.book.skip_to(first * CLAIMS_PER_RECORD - 1);
+                None
+            }
+            Err(ReadError::Unavailable(text)) => {
+                warn!(
+                    "event=log_unavailable stream={} error={text:?}",
+                    self.stream
+                );
+                None
+            }
+        }
+    }
+
+    fn fold(&mut self, offset: Offset, payload: &[u8]) {
+        let records: Vec<ClaimRecord> = match serde_json::from_slice(payload) {
+            Ok(records) => records,
+            Err(err) => {
+                warn!(
+                    "event=claims_unreadable stream={} offset={offset} error=\"{err}\"",
+                    self.stream
+                );
+                return;
+            }
+        };
+        for (i, record) in records.into_iter().enumerate() {
+            self.book
+                .apply(offset * CLAIMS_PER_RECORD + i as Offset, record);
+        }
+    }
+}
+
+async fn gather(first: Job, jobs: &mut mpsc::Receiver<Job>) -> Vec<Job> {
+    let mut batch = vec![first];
+    let until = time::Instant::now() + LINGER;
+    while batch.len() < MAX_BATCH {
+        match time::timeout_at(until, jobs.recv()).await {
+            Ok(Some(job)) => batch.push(job),
+            Ok(None) | Err(_) => break,
+        }
+    }
+    batch
+}
+
+fn record(job: &Job) -> Option<ClaimRecord> {
+    match job {
+        Job::Claim(claim, _) => Some(ClaimRecord::Claim(claim.clone())),
+        Job::Tell(record) => Some(record.clone()),
+        Job::Look(..) => None,
+    }
+}
+
+fn claim(job: &Job) -> Option<&Claim> {
+    match job {
+        Job::Claim(claim, _) => Some(claim),
+        Job::Look(..) | Job::Tell(_) => None,
+    }
+}
--- /dev/null
+++ b/src/entry/peer.rs
@@ -0,0 +1,65 @@
+//! RPCs that entries serve for other processes of the system.
+
+use std::sync::Arc;
+
+use tonic::{Request, Response, Status};
+
+use crate::{
+    core::idempotency::{Claim, ClaimRecord},
+    entry::{probe::count_bytes, shared::Shared},
+    platform::Log,
+    rpc::pb::{
+        CatchupReply, CatchupRequest, ClaimReply, ClaimRequest, SettleReply, SettleRequest,
+        peer_server,
+    },
+};
+
+/// Answers RPCs for an entry.
+pub(super) struct PeerRpc<L> {
+    pub(super) shared: Arc<Shared<L>>,
+}
+
+#[tonic::async_trait]
+impl<L: Log> peer_server::Peer for PeerRpc<L> {
+    async fn catchup(
+        &self,
+        req: Request<CatchupRequest>,
+    ) -> Result<Response<CatchupReply>, Status> {
+        let view = self.shared.store.view();
+        let revision = view.state.revision;
+        let asked = req.into_inner().revision;
+        self.shared.store.hint(asked);
+        let state = match asked < revision {
+            true => serde_json::to_vec(&*view.state).unwrap_or_default(),
+            false => Vec::new(),
+        };
+        let reply = CatchupReply {
+            revision,
+            state: state.into(),
+        };
+        count_bytes("catchup", "sent", &reply);
+        Ok(Response::new(reply))
+    }
+
+    async fn claim(&self, req: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
+        let req = req.into_inner();
+        count_bytes("claim", "received", &req);
+        let verdict = if req.record.is_empty() {
+            self.shared.claims.look_here(&req.key).await
+        } else {
+            let claim: Claim = serde_json::from_slice(&req.record)
+                .map_err(|err| Status::invalid_argument(err.to_string()))?;
+            self.shared.claims.claim_here(claim).await
+        };
+        let reply = ClaimReply::from(verdict);
+        count_bytes("claim", "sent", &reply);
+        Ok(Response::new(reply))
+    }
+
+    async fn settle(&self, req: Request<SettleRequest>) -> Result<Response<SettleReply>, Status> {
+        let record: ClaimRecord = serde_json::from_slice(&req.into_inner().record)
+            .map_err(|err| Status::invalid_argument(err.to_string()))?;
+        self.shared.claims.tell_here(record);
+        Ok(Response::new(SettleReply { recorded: true }))
+    }
+}
--- /dev/null
+++ b/src/entry/process.rs
@@ -0,0 +1,149 @@
+//! Starts an entry's parts and stops them gracefully.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use log::info;
+use tokio::{net::TcpListener, task::JoinHandle, time};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::{
+    core::{ids::EntryId, routing::Site},
+    entry::{claims::ClaimService, peer::PeerRpc, shared::Shared},
+    fleet::{ConfigStore, Follower, watch_vms},
+    http::{self, StopSignal, stop_channel},
+    platform::{Log, VmList},
+    rpc::{Channels, pb::peer_server::PeerServer},
+};
+
+/// What an entry is told at its start.
+#[derive(Clone, Debug)]
+pub struct EntryConfig {
+    /// Its name in the list of VMs.
+    pub name: EntryId,
+    /// Where it stands.
+    pub site: Site,
+    /// Time between being unready and closing the listener, for the balancer to notice.
+    pub drain_notice: Duration,
+}
+
+/// A running entry.
+pub struct EntryProcess<L> {
+    shared: Arc<Shared<L>>,
+    stop: StopSignal,
+    address: SocketAddr,
+    peer_address: SocketAddr,
+    drain_notice: Duration,
+    servers: Vec<JoinHandle<()>>,
+}
+
+/// Starts an entry on a listener for callers and one for other processes.
+pub fn start<L: Log, V: VmList>(
+    config: EntryConfig,
+    callers: TcpListener,
+    peers: TcpListener,
+    log: L,
+    vms: V,
+) -> std::io::Result<EntryProcess<L>> {
+    let address = callers.local_addr()?;
+    let peer_address = peers.local_addr()?;
+    let (signal, stop) = stop_channel();
+    let store = Arc::new(ConfigStore::default());
+    let channels = Channels::default();
+    let vms = watch_vms(vms, stop.clone());
+    let claims = ClaimService::new(
+        config.name.clone(),
+        log.clone(),
+        vms.clone(),
+        channels.clone(),
+    );
+    let follower = Follower::new(
+        log,
+        store.clone(),
+        vms.clone(),
+        channels.clone(),
+        Some(peer_address),
+    );
+    info!("event=entry_start entry={} address={address}", config.name);
+    let shared = Arc::new(Shared::new(
+        config.name,
+        config.site,
+        store,
+        channels,
+        vms,
+        claims,
+    ));
+    tokio::spawn(follower.run(stop.clone()));
+    let handler_shared = shared.clone();
+    let handler = move |req| {
+        let shared = handler_shared.clone();
+        async move { Ok(shared.handle(req).await) }
+    };
+    let rpc = PeerServer::new(PeerRpc {
+        shared: shared.clone(),
+    });
+    let mut stopped = stop.clone();
+    let peer_server = Server::builder()
+        .tcp_nodelay(true)
+        .add_service(rpc)
+        .serve_with_incoming_shutdown(TcpListenerStream::new(peers), async move {
+            let _ = stopped.wait_for(|s| *s).await;
+        });
+    let servers = vec![
+        tokio::spawn(http::serve(callers, handler, stop)),
+        tokio::spawn(async move {
+            // Single connections that fail do not end the server.
+            let _ = peer_server.await;
+        }),
+    ];
+    let drain_notice = config.drain_notice;
+    Ok(EntryProcess {
+        shared,
+        stop: signal,
+        address,
+        peer_address,
+        drain_notice,
+        servers,
+    })
+}
+
+impl<L: Log> EntryProcess<L> {
+    /// Address for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Address for other processes.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// The entry's configuration.
+    pub fn store(&self) -> &Arc<ConfigStore> {
+        &self.shared.store
+    }
+
+    /// Becomes unready, lets the balancer notice, and ends when the last answer is sent.
+    pub async fn stop(self) {
+        self.shared.draining.store(true, Ordering::Relaxed);
+        info!("event=drain entry={}", self.shared.name);
+        time::sleep(self.drain_notice).await;
+        self.stop.send_replace(true);
+        for server in self.servers {
+            // A server that was aborted has nothing left to send.
+            let _ = server.await;
+        }
+    }
+
+    /// Stops at once, as when the VM fails.
+    pub fn kill(self) {
+        self.stop.send_replace(true);
+        for server in &self.servers {
+            server.abort();
+        }
+    }
+}
--- a/src/fakes/engine.rs
+++ b/src/fakes/engine.rs
@@ -67,7 +67,9 @@
 impl WeightStore {
     /// A store that serves so many loads at once.
     pub fn new(at_once: usize) -> Self {
-        Self { slots: Arc::new(Semaphore::new(at_once)) }
+        Self {
+            slots: Arc::new(Semaphore::new(at_once)),
+        }
     }
 
     async fn fetch(&self, takes: Duration) {
@@ -237,8 +239,15 @@
             return Err(BackendError::NotSent("down".to_owned()));
         }
         let held = inner.held.iter().map(|(r, s)| (r.clone(), *s)).collect();
-        let state = EngineState { held, loading: inner.loading.clone(), role: inner.role };
-        Ok(EngineReport { state, boot: inner.boot })
+        let state = EngineState {
+            held,
+            loading: inner.loading.clone(),
+            role: inner.role,
+        };
+        Ok(EngineReport {
+            state,
+            boot: inner.boot,
+        })
     }
 
     pub(super) async fn order(
@@ -273,12 +282,20 @@
             return Err(BackendError::NotSent("down".to_owned()));
         }
         let loaded = |r: &Resource| matches!(r, Resource::Model { name, .. } if **name == *model);
-        let ready = inner.held.keys().any(|r| loaded(r) && !inner.loading.contains(r));
+        let ready = inner
+            .held
+            .keys()
+            .any(|r| loaded(r) && !inner.loading.contains(r));
         if !ready {
-            return Err(BackendError::Refused(format!("model {model:?} is not loaded")));
+            return Err(BackendError::Refused(format!(
+                "model {model:?} is not loaded"
+            )));
         }
         inner.running += 1;
-        *inner.runs.entry(hash::stable(&[prompt.as_bytes()])).or_default() += 1;
+        *inner
+            .runs
+            .entry(hash::stable(&[prompt.as_bytes()]))
+            .or_default() += 1;
         drop(inner);
         if prompt.contains(POISON) {
             let me = self.clone();
@@ -287,7 +304,11 @@
                 me.crash();
             });
         }
-        Ok(BatchSlot { engine: self.clone(), boots, complete: false })
+        Ok(BatchSlot {
+            engine: self.clone(),
+            boots,
+            complete: false,
+        })
     }
 
     /// Time to the first token of a prompt, by what the prefix cache holds.
@@ -305,7 +326,11 @@
         if CACHED_PREFIXES < inner.cache.len() {
             inner.cache.pop_front();
         }
-        let saved = if found.is_some() { self.traits.cache_saves } else { 0.0 };
+        let saved = if found.is_some() {
+            self.traits.cache_saves
+        } else {
+            0.0
+        };
         self.traits.first_token.mul_f64(1.0 - saved)
     }
 
@@ -362,4 +387,3 @@
         Ok(OrderResult::Done)
     }
 }
-
--- a/src/fakes/service.rs
+++ b/src/fakes/service.rs
@@ -35,7 +35,10 @@
 impl FakeService {
     /// A service whose calls take a time each.
     pub fn new(takes: Duration) -> Self {
-        Self { runs: Arc::default(), takes }
+        Self {
+            runs: Arc::default(),
+            takes,
+        }
     }
 
     /// Runs by id.
@@ -69,6 +72,12 @@
             *count
         };
         time::sleep(self.takes).await;
-        Ok(http::json(StatusCode::OK, &Confirmation { confirmed: call.id, run }))
+        Ok(http::json(
+            StatusCode::OK,
+            &Confirmation {
+                confirmed: call.id,
+                run,
+            },
+        ))
     }
 }
--- a/src/fleet/follower.rs
+++ b/src/fleet/follower.rs
@@ -53,7 +53,13 @@
         channels: Channels,
         own: Option<SocketAddr>,
     ) -> Self {
-        Self { log, store, vms, channels, own }
+        Self {
+            log,
+            store,
+            vms,
+            channels,
+            own,
+        }
     }
 
     /// Follows until the stop.
@@ -87,7 +93,9 @@
     }
 
     fn apply(&self, records: &[LogRecord]) {
-        let verdicts = self.store.apply(records.iter().map(|r| (r.offset, &r.payload[..])));
+        let verdicts = self
+            .store
+            .apply(records.iter().map(|r| (r.offset, &r.payload[..])));
         for (offset, verdict) in verdicts {
             match verdict {
                 Verdict::Accepted => info!("event=config_in_force revision={offset}"),
@@ -104,7 +112,9 @@
         let mut newest: Option<State> = None;
         let mut from = first;
         while let Ok(page) = self.log.read(CONFIG_STREAM, from, Duration::ZERO).await {
-            let Some(last) = page.records.last() else { break };
+            let Some(last) = page.records.last() else {
+                break;
+            };
             from = last.offset + 1;
             for record in &page.records {
                 if let Some(state) = snapshot(record) {
@@ -142,15 +152,22 @@
 
     async fn ask(&self, peer: SocketAddr) {
         let mut client = PeerClient::new(self.channels.to(peer));
-        let request = CatchupRequest { revision: self.store.revision() };
+        let request = CatchupRequest {
+            revision: self.store.revision(),
+        };
         let Ok(Ok(reply)) = time::timeout(PEER_LIMIT, client.catchup(request)).await else {
             return;
         };
         let reply = reply.into_inner();
         if !reply.state.is_empty() {
-            let Ok(state) = serde_json::from_slice(&reply.state) else { return };
+            let Ok(state) = serde_json::from_slice(&reply.state) else {
+                return;
+            };
             if self.store.adopt(state) {
-                info!("event=config_from_peer revision={} peer={peer}", reply.revision);
+                info!(
+                    "event=config_from_peer revision={} peer={peer}",
+                    reply.revision
+                );
             }
         }
         self.store.confirm(Instant::now());
@@ -158,13 +175,15 @@
 
     /// Appends a snapshot when the last one is old, unless somebody else did meanwhile.
     async fn snapshot_when_due(&self) {
-        let due = |store: &ConfigStore| {
-            store.snapshot_at() + RECORDS_PER_SNAPSHOT <= store.revision()
-        };
+        let due =
+            |store: &ConfigStore| store.snapshot_at() + RECORDS_PER_SNAPSHOT <= store.revision();
         if !due(&self.store) {
             return;
         }
-        time::sleep(Duration::from_millis(fastrand::u64(..MAX_SNAPSHOT_DELAY_MS))).await;
+        time::sleep(Duration::from_millis(fastrand::u64(
+            ..MAX_SNAPSHOT_DELAY_MS,
+        )))
+        .await;
         let from = self.store.revision() + 1;
         if let Ok(page) = self.log.read(CONFIG_STREAM, from, Duration::ZERO).await {
             self.apply(&page.records);
@@ -174,7 +193,9 @@
         }
         let state = self.store.view().state.as_ref().clone();
         let record = Record::Snapshot(Snapshot { state });
-        let Ok(payload) = serde_json::to_vec(&record) else { return };
+        let Ok(payload) = serde_json::to_vec(&record) else {
+            return;
+        };
         // A lost answer leads at worst to a second snapshot, which does no harm.
         let appended = self.log.append(CONFIG_STREAM, payload.into()).await;
         info!("event=snapshot_appended ok={}", appended.is_ok());
--- a/src/fleet/operator.rs
+++ b/src/fleet/operator.rs
@@ -52,7 +52,9 @@
     let deadline = Instant::now() + limit;
     while Instant::now() < deadline {
         let from = fold.state().revision + 1;
-        let read = log.read(CONFIG_STREAM, from, Duration::from_millis(300)).await;
+        let read = log
+            .read(CONFIG_STREAM, from, Duration::from_millis(300))
+            .await;
         let page = match read {
             Ok(page) => page,
             Err(ReadError::Expired { .. }) => break,
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -72,7 +72,9 @@
         records: impl Iterator<Item = (Offset, &'a [u8])>,
     ) -> Vec<(Offset, Verdict)> {
         let mut fold = lock(&self.fold);
-        let verdicts: Vec<_> = records.map(|(at, bytes)| (at, fold.apply(at, bytes))).collect();
+        let verdicts: Vec<_> = records
+            .map(|(at, bytes)| (at, fold.apply(at, bytes)))
+            .collect();
         self.publish(fold.state());
         verdicts
     }
@@ -113,9 +115,9 @@
             if view.state.revision == state.revision {
                 return false;
             }
-            let placement_changed =
-                view.state.items != state.items || view.state.exceptions != state.exceptions
-                    || view.state.defaults != state.defaults;
+            let placement_changed = view.state.items != state.items
+                || view.state.exceptions != state.exceptions
+                || view.state.defaults != state.defaults;
             if placement_changed {
                 view.plan = Arc::new(static_plan(state));
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,10 +3,14 @@
 //! [`core`] holds the decisions and can be embedded by itself; the other
 //! modules put sockets, settings and timers round it.
 
+pub mod agent;
 pub mod core;
+pub mod entry;
 pub mod errors;
 pub mod fakes;
 pub mod fleet;
 pub mod http;
 pub mod platform;
 pub mod rpc;
+pub mod telemetry;
+pub mod timers;
--- a/src/rpc/channels.rs
+++ b/src/rpc/channels.rs
@@ -23,7 +23,9 @@
     /// The connection to an address.
     pub fn to(&self, address: SocketAddr) -> Channel {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        open.entry(address).or_insert_with(|| connect(address)).clone()
+        open.entry(address)
+            .or_insert_with(|| connect(address))
+            .clone()
     }
 
     /// Forgets connections to addresses that are no longer used.
@@ -35,7 +37,8 @@
 
 fn connect(address: SocketAddr) -> Channel {
     let uri = format!("http://{address}");
-    let endpoint = Endpoint::from_shared(uri).unwrap_or_else(|_| Endpoint::from_static("http://0.0.0.0:0"));
+    let endpoint =
+        Endpoint::from_shared(uri).unwrap_or_else(|_| Endpoint::from_static("http://0.0.0.0:0"));
     endpoint
         .connect_timeout(CONNECT_LIMIT)
         .http2_keep_alive_interval(KEEPALIVE)
--- /dev/null
+++ b/src/timers/mod.rs
@@ -0,0 +1,5 @@
+//! The timer service: one task keeps all timers, parts subscribe to it.
+
+mod service;
+
+pub use service::{Ticks, Timers};
