--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,5 @@
+//! Metrics and health of a process on an address of its own.
+
+mod server;
+
+pub use server::{AdminServer, start};
--- a/src/agent/crashes.rs
+++ b/src/agent/crashes.rs
@@ -49,10 +49,7 @@
             return;
         }
         let endpoint = self.identity.endpoint.to_string();
-        warn!(
-            "event=endpoint_crashed endpoint={endpoint} suspects={}",
-            suspects.len()
-        );
+        warn!("event=endpoint_crashed endpoint={endpoint} suspects={}", suspects.len());
         counter!(names::CRASHES).increment(1);
         self.tell(Record::Crash(Crash { endpoint, suspects }));
     }
--- a/src/agent/lifecycle.rs
+++ b/src/agent/lifecycle.rs
@@ -15,16 +15,10 @@
         let mut core = self.lock();
         core.draining = true;
         for attempt in core.scheduler.drop_waiting() {
-            core.refuse(
-                &attempt,
-                Refusal::new(Code::Draining, "the endpoint is leaving"),
-            );
+            core.refuse(&attempt, Refusal::new(Code::Draining, "the endpoint is leaving"));
         }
         let running = core.scheduler.running();
-        info!(
-            "event=drain endpoint={} running={running}",
-            self.identity.endpoint
-        );
+        info!("event=drain endpoint={} running={running}", self.identity.endpoint);
         running
     }
 
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -29,9 +29,7 @@
             self.follow_plan();
             let action = {
                 let mut core = self.lock();
-                core.controller
-                    .as_mut()
-                    .and_then(|c| c.poll(Instant::now()))
+                core.controller.as_mut().and_then(|c| c.poll(Instant::now()))
             };
             if let Some(action) = action {
                 self.act(action).await;
@@ -98,12 +96,12 @@
             let mut core = self.lock();
             let restarted = core.boot != 0 && core.boot != boot;
             core.boot = boot;
-            core.engine_up = true;
             restarted
         };
         if restarted {
             self.endpoint_crashed();
         }
+        self.lock().engine_up = true;
     }
 }
 
--- a/src/agent/process.rs
+++ b/src/agent/process.rs
@@ -45,14 +45,8 @@
     let address = listener.local_addr()?;
     let (signal, stop) = stop_channel();
     let store = Arc::new(ConfigStore::default());
-    let identity = Identity {
-        endpoint,
-        incarnation: incarnation(),
-    };
-    info!(
-        "event=agent_start endpoint={} incarnation={}",
-        identity.endpoint, identity.incarnation
-    );
+    let identity = Identity { endpoint, incarnation: incarnation() };
+    info!("event=agent_start endpoint={} incarnation={}", identity.endpoint, identity.incarnation);
     let follower = Follower::new(
         log.clone(),
         store.clone(),
@@ -66,9 +60,7 @@
     tokio::spawn(shared.clone().order_loop(timers.clone()));
     tokio::spawn(shared.clone().configuration_loop());
     tokio::spawn(shared.clone().pump_loop(timers));
-    let rpc = AgentRpc {
-        shared: shared.clone(),
-    };
+    let rpc = AgentRpc { shared: shared.clone() };
     let mut stopped = stop;
     let server = Server::builder()
         .tcp_nodelay(true)
@@ -80,12 +72,7 @@
         // Single connections that fail do not end the server.
         let _ = server.await;
     });
-    Ok(AgentProcess {
-        shared,
-        stop: signal,
-        address,
-        server,
-    })
+    Ok(AgentProcess { shared, stop: signal, address, server })
 }
 
 impl<B: Backend, L: Log> AgentProcess<B, L> {
@@ -152,8 +139,6 @@
 /// stand beside an endpoint, since it holds the listening address. An engine
 /// that has seen a larger number says so, and the controller passes it.
 fn incarnation() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since.as_millis() as u64
 }
--- a/src/agent/residency.rs
+++ b/src/agent/residency.rs
@@ -21,6 +21,10 @@
     fleet::View,
 };
 
+// A request that waited so long for room lets models on demand that are in use go next.
+const YIELD_AFTER: Duration = Duration::from_millis(500);
+// The wait is over when nobody has asked for the room for so long.
+const YIELD_LAPSES: Duration = Duration::from_millis(400);
 // A model that is loaded outside the plan stays for so long after its last request.
 const ON_DEMAND_STAYS: Duration = Duration::from_secs(60);
 const RECHECK: Duration = Duration::from_millis(100);
@@ -36,16 +40,19 @@
         needed: &[(Resource, Mib)],
         deadline: Instant,
     ) -> Result<(), Refusal> {
+        let began = Instant::now();
         loop {
             let changed = self.changed.notified();
             {
                 let view = self.store.view();
                 let mut core = self.lock();
-                if core.all_resident(needed) {
-                    core.hold(Instant::now(), needed);
+                let now = Instant::now();
+                if core.all_usable(now, needed) {
+                    core.hold(now, needed);
                     return Ok(());
                 }
-                core.want(&view, &self.identity.endpoint, needed)?;
+                let long = YIELD_AFTER <= began.elapsed();
+                core.want(&view, &self.identity.endpoint, needed, long)?;
             }
             self.work.notify_one();
             if deadline <= Instant::now() {
@@ -62,9 +69,7 @@
             return;
         };
         let endpoint = &self.identity.endpoint;
-        let percent = view
-            .state
-            .value(Key::KvReservePercent, &Scope::endpoint(endpoint));
+        let percent = view.state.value(Key::KvReservePercent, &Scope::endpoint(endpoint));
         let mut core = self.lock();
         if !core.controller.as_ref().is_some_and(|c| c.is_running()) {
             return;
@@ -87,33 +92,52 @@
         view: &View,
         endpoint: &str,
         needed: &[(Resource, Mib)],
+        waited_long: bool,
     ) -> Result<(), Refusal> {
         for (resource, size) in needed {
-            let Some(controller) = &mut self.controller else {
-                return Ok(());
-            };
+            let Some(controller) = &mut self.controller else { return Ok(()) };
             if !controller.is_running() {
                 return Ok(());
             }
-            let Err(no_room) = controller.load(resource.clone(), *size) else {
-                continue;
-            };
+            let Err(no_room) = controller.load(resource.clone(), *size) else { continue };
             let moving = |r: Residency| r != Residency::Resident;
-            let busy = controller
-                .ledger()
-                .slots()
-                .any(|(_, s)| moving(s.residency));
-            let freed = self.make_room(view, endpoint, no_room.missing, needed);
-            if !freed && !busy {
-                return Err(not_resident(&format!(
-                    "{} MiB are missing",
-                    no_room.missing
-                )));
+            let busy = controller.ledger().slots().any(|(_, s)| moving(s.residency));
+            if self.make_room(view, endpoint, no_room.missing, needed) || busy {
+                continue;
+            }
+            let later = self.in_use_on_demand(view, endpoint, needed);
+            let size: Mib = later.iter().map(|(_, size)| size).sum();
+            if size < no_room.missing {
+                return Err(not_resident(&format!("{} MiB are missing", no_room.missing)));
+            }
+            if waited_long {
+                let until = Instant::now() + YIELD_LAPSES;
+                self.yielding.extend(later.into_iter().map(|(r, _)| (r, until)));
             }
         }
         Ok(())
     }
 
+    /// Resources outside the plan that requests may keep loaded.
+    fn in_use_on_demand(
+        &self,
+        view: &View,
+        endpoint: &str,
+        needed: &[(Resource, Mib)],
+    ) -> Vec<(Resource, Mib)> {
+        let Some(controller) = &self.controller else { return Vec::new() };
+        let on_demand = |r: &Resource| match r {
+            Resource::Model { name, .. } => !view.plan.places(name, endpoint),
+            Resource::Adapter { .. } => true,
+            Resource::KvCache => false,
+        };
+        let held = controller.ledger().slots();
+        held.filter(|(r, s)| s.residency == Residency::Resident && on_demand(r))
+            .filter(|(r, _)| !needed.iter().any(|(n, _)| n == *r))
+            .map(|(r, s)| (r.clone(), s.size))
+            .collect()
+    }
+
     /// Whether resources could be loaded now or after allowed unloads.
     pub(super) fn could_hold(
         &self,
@@ -125,17 +149,16 @@
             return needed.is_empty();
         };
         let ledger = controller.ledger();
-        let missing: Mib = needed
-            .iter()
-            .filter(|(r, _)| ledger.slot(r).is_none())
-            .map(|(_, s)| s)
-            .sum();
+        let missing: Mib =
+            needed.iter().filter(|(r, _)| ledger.slot(r).is_none()).map(|(_, s)| s).sum();
         if missing <= ledger.free() {
             return true;
         }
-        let victims = self.victims(view, endpoint, needed);
-        let idle: Mib = victims.iter().map(|(_, size)| size).sum();
-        missing <= ledger.free() + idle
+        let idle = self.victims(view, endpoint, needed);
+        let in_use = self.in_use_on_demand(view, endpoint, needed);
+        let later = in_use.iter().filter(|(r, _)| !idle.iter().any(|(i, _)| i == r));
+        let freed: Mib = idle.iter().chain(later).map(|(_, size)| size).sum();
+        missing <= ledger.free() + freed
     }
 
     /// Unloads idle resources that may go, the least recently used first.
@@ -160,6 +183,7 @@
             if let Some(controller) = &mut self.controller {
                 controller.unload(&resource);
             }
+            self.yielding.remove(&resource);
         }
         true
     }
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -12,8 +12,8 @@
     errors::{Code, Refusal},
     platform::{Backend, Log},
     rpc::pb::{
-        DescribeReply, DescribeRequest, DrainReply, DrainRequest, FenceReply, FenceRequest, ProbeReply, ProbeRequest, RunFrame,
-        RunRequest, agent_server,
+        DescribeReply, DescribeRequest, DrainReply, DrainRequest, FenceReply, FenceRequest,
+        ProbeReply, ProbeRequest, RunFrame, RunRequest, agent_server,
     },
 };
 
@@ -61,7 +61,9 @@
             endpoint_up: core.engine_up,
             ..DescribeReply::default()
         };
-        let Some(controller) = &core.controller else { return reply };
+        let Some(controller) = &core.controller else {
+            return reply;
+        };
         let ledger = controller.ledger();
         reply.capacity_mib = ledger.capacity();
         reply.used_mib = ledger.used();
@@ -111,10 +113,7 @@
         let own = self.shared.identity.incarnation;
         let state = if req.incarnation == own {
             let ticket = Duration::from_millis(req.ticket_ms);
-            self.shared
-                .lock()
-                .memory
-                .fence(&req.attempt.as_str().into(), ticket)
+            self.shared.lock().memory.fence(&req.attempt.as_str().into(), ticket)
         } else {
             FenceState::Unknown
         };
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -37,30 +37,19 @@
 
 impl Frames {
     pub(super) fn new(attempt: String, tx: mpsc::Sender<Result<RunFrame, Status>>) -> Self {
-        Self {
-            attempt,
-            sequence: 0,
-            tx,
-        }
+        Self { attempt, sequence: 0, tx }
     }
 
     /// Sends a frame; false when the entry went away. Waits while the entry is slow.
     async fn send(&mut self, body: Body) -> bool {
         let sequence = self.sequence;
         self.sequence += 1;
-        let frame = RunFrame {
-            attempt: self.attempt.clone(),
-            sequence,
-            body: Some(body),
-        };
+        let frame = RunFrame { attempt: self.attempt.clone(), sequence, body: Some(body) };
         self.tx.send(Ok(frame)).await.is_ok()
     }
 
     async fn refuse(&mut self, refusal: Refusal) {
-        debug!(
-            "event=attempt_refused attempt={} error=\"{refusal}\"",
-            self.attempt
-        );
+        debug!("event=attempt_refused attempt={} error=\"{refusal}\"", self.attempt);
         self.send(Body::Refused(refusal.into())).await;
     }
 }
@@ -114,10 +103,7 @@
             return Err(Refusal::new(Code::Draining, "the endpoint is leaving"));
         }
         if !core.engine_up {
-            return Err(Refusal::new(
-                Code::NoEndpoint,
-                "the endpoint does not answer its agent",
-            ));
+            return Err(Refusal::new(Code::NoEndpoint, "the endpoint does not answer its agent"));
         }
         core.watch.learn(req.fingerprint, req.crashes.max(known));
         if core.watch.suspicion(req.fingerprint) == Suspicion::Quarantined {
@@ -179,12 +165,7 @@
             core.release(&needed);
             return Err(refusal);
         }
-        Ok(Admitted {
-            attempt: attempt.clone(),
-            needed,
-            deadline,
-            queued_at,
-        })
+        Ok(Admitted { attempt: attempt.clone(), needed, deadline, queued_at })
     }
 
     fn offer(
@@ -211,11 +192,7 @@
         let target = now + view.state.duration(Key::FirstTokenMs, &scope);
         let mut core = self.lock();
         let isolated = core.watch.suspicion(req.fingerprint) == Suspicion::Suspect;
-        let latest_start = if isolated {
-            deadline
-        } else {
-            deadline.min(target)
-        };
+        let latest_start = if isolated { deadline } else { deadline.min(target) };
         let job = Job {
             attempt: attempt.clone(),
             flow,
@@ -238,9 +215,7 @@
         let waited = admitted.queued_at.elapsed();
         let labels = [("tenant", req.tenant.clone()), ("class", req.class.clone())];
         histogram!(names::QUEUE, &labels).record(waited.as_secs_f64());
-        let started = Started {
-            queue_ms: waited.as_millis() as u32,
-        };
+        let started = Started { queue_ms: waited.as_millis() as u32 };
         let listens = frames.send(Body::Started(started)).await;
         // What may run at most once is carried through even when nobody listens.
         let result = if req.at_most_once || req.target.starts_with("service/") {
@@ -271,9 +246,7 @@
                 };
                 let Some(text) = next else { break };
                 if index == req.resume_tokens {
-                    self.lock()
-                        .scheduler
-                        .first_token(Instant::now(), &admitted.attempt);
+                    self.lock().scheduler.first_token(Instant::now(), &admitted.attempt);
                 }
                 if !frames.send(Body::Token(Token { index, text })).await {
                     return Err(gone);
@@ -283,9 +256,7 @@
             frames.send(Body::Done(Done { tokens: index })).await;
             Ok(())
         });
-        timed
-            .await
-            .unwrap_or_else(|_| Err(BackendError::Broken(DEADLINE.to_owned())))
+        timed.await.unwrap_or_else(|_| Err(BackendError::Broken(DEADLINE.to_owned())))
     }
 
     async fn call_service(
@@ -334,11 +305,7 @@
             text.extend_from_slice(&token);
         }
         let body = Bytes::from(text);
-        Ok(crate::platform::ServiceReply {
-            status: 200,
-            content_type: TEXT.to_owned(),
-            body,
-        })
+        Ok(crate::platform::ServiceReply { status: 200, content_type: TEXT.to_owned(), body })
     }
 
     async fn finish(
@@ -364,11 +331,7 @@
                 frames.refuse(Refusal::new(Code::NoEndpoint, text)).await;
             }
             BackendError::Broken(text) => {
-                let code = if late {
-                    Code::DeadlineExceeded
-                } else {
-                    Code::EndpointFailed
-                };
+                let code = if late { Code::DeadlineExceeded } else { Code::EndpointFailed };
                 let refusal = Refusal::new(code, text);
                 frames.send(Body::Failed(failed(&refusal, crashed))).await;
             }
@@ -383,9 +346,7 @@
             core.watch.completed(req.fingerprint)
         };
         if cleared {
-            self.tell(Record::Cleared {
-                fingerprint: req.fingerprint,
-            });
+            self.tell(Record::Cleared { fingerprint: req.fingerprint });
         }
     }
 }
@@ -394,9 +355,5 @@
 const TEXT: &str = "text/plain; charset=utf-8";
 
 fn failed(refusal: &Refusal, crashed: bool) -> Failed {
-    Failed {
-        code: refusal.code.number(),
-        message: refusal.message.clone(),
-        crashed,
-    }
+    Failed { code: refusal.code.number(), message: refusal.message.clone(), crashed }
 }
--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -26,10 +26,7 @@
 // Age up to which a probe lets an attempt be run.
 const TICKET_LIFE: Duration = Duration::from_secs(30);
 const REMEMBERED_ATTEMPTS: usize = 4096;
-const DEFAULT_TRAITS: Traits = Traits {
-    max_running: 1,
-    queue_limit: 0,
-};
+const DEFAULT_TRAITS: Traits = Traits { max_running: 1, queue_limit: 0 };
 
 /// Who an agent is.
 #[derive(Clone, Debug)]
@@ -52,6 +49,8 @@
     pub(super) waiting: HashMap<AttemptId, StartSignal>,
     pub(super) in_use: HashMap<Resource, usize>,
     pub(super) last_used: HashMap<Resource, Instant>,
+    /// Resources that take no new requests until a time, because others wait for their room.
+    pub(super) yielding: HashMap<Resource, Instant>,
     /// Attempts that ran when the endpoint crashed, until they have noticed.
     pub(super) crashed: HashSet<AttemptId>,
     pub(super) boot: u64,
@@ -90,6 +89,7 @@
             waiting: HashMap::new(),
             in_use: HashMap::new(),
             last_used: HashMap::new(),
+            yielding: HashMap::new(),
             crashed: HashSet::new(),
             boot: 0,
             engine_up: false,
@@ -121,11 +121,9 @@
     pub(super) fn endpoint(&self) -> Option<(Mib, Option<String>)> {
         let view = self.store.view();
         match view.state.item(ItemKind::Endpoint, &self.identity.endpoint) {
-            Some(Item::Endpoint {
-                memory_mib,
-                service,
-                ..
-            }) => Some((*memory_mib, service.clone())),
+            Some(Item::Endpoint { memory_mib, service, .. }) => {
+                Some((*memory_mib, service.clone()))
+            }
             _ => None,
         }
     }
@@ -193,6 +191,13 @@
         }
     }
 
+    /// Whether all resources are loaded and stay for a new request.
+    pub(super) fn all_usable(&self, now: Instant, resources: &[(Resource, Mib)]) -> bool {
+        let yields = |r: &Resource| self.yielding.get(r).is_some_and(|until| now < *until);
+        let stays = |(r, _): &(Resource, Mib)| !yields(r);
+        self.all_resident(resources) && resources.iter().all(stays)
+    }
+
     /// Whether all resources are loaded.
     pub(super) fn all_resident(&self, resources: &[(Resource, Mib)]) -> bool {
         let Some(controller) = &self.controller else {
--- /dev/null
+++ b/src/cli/daemons.rs
@@ -0,0 +1,106 @@
+//! `entry` and `agent`: run until a signal asks for a planned stop.
+
+use std::{io, net::SocketAddr};
+
+use log::{error, info};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+
+use crate::{
+    admin, agent,
+    cli::{EXIT_FAILED, EXIT_OK, settings},
+    core::routing::Site,
+    entry::{self, EntryConfig},
+    errors::Code,
+    platform::{HttpBackend, HttpLog, HttpVmList},
+    settings::{AgentSettings, EntrySettings, Reader},
+    telemetry::{self, Metrics},
+};
+
+/// Runs an entry.
+pub(super) async fn entry(file: &str) -> u8 {
+    let settings = match EntrySettings::read(Reader::from_file(file)) {
+        Ok(settings) => settings,
+        Err(faults) => return settings::print(&faults),
+    };
+    telemetry::start_logs(&settings.levels);
+    exit_code(run_entry(settings).await)
+}
+
+/// Runs an agent.
+pub(super) async fn agent(file: &str) -> u8 {
+    let settings = match AgentSettings::read(Reader::from_file(file)) {
+        Ok(settings) => settings,
+        Err(faults) => return settings::print(&faults),
+    };
+    telemetry::start_logs(&settings.levels);
+    exit_code(run_agent(settings).await)
+}
+
+async fn run_entry(settings: EntrySettings) -> io::Result<()> {
+    let callers = bind(settings.listen).await?;
+    let peers = bind(settings.peer_listen).await?;
+    let admin = bind(settings.admin_listen).await?;
+    let config = EntryConfig {
+        name: settings.name.as_str().into(),
+        site: Site { region: settings.region, zone: settings.zone },
+        drain_notice: settings.drain_notice,
+    };
+    let metrics = Metrics::install();
+    let log = HttpLog::new(settings.log);
+    let vms = HttpVmList::new(settings.vm_list);
+    let process = entry::start(config, callers, peers, log, vms)?;
+    let admin = admin::start(admin, metrics, process.store().clone());
+    stop_signal().await?;
+    process.stop().await;
+    admin.stop();
+    info!("event=stopped");
+    Ok(())
+}
+
+async fn run_agent(settings: AgentSettings) -> io::Result<()> {
+    let listener = bind(settings.listen).await?;
+    let admin = bind(settings.admin_listen).await?;
+    let metrics = Metrics::install();
+    let process = agent::start(
+        settings.endpoint.as_str().into(),
+        listener,
+        HttpBackend::new(settings.backend),
+        HttpLog::new(settings.log),
+        HttpVmList::new(settings.vm_list),
+    )?;
+    let admin = admin::start(admin, metrics, process.store().clone());
+    stop_signal().await?;
+    process.stop().await;
+    admin.stop();
+    info!("event=stopped");
+    Ok(())
+}
+
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await.map_err(|err| {
+        io::Error::new(err.kind(), format!("{}: {address}: {err}", Code::AddressTaken))
+    })
+}
+
+async fn stop_signal() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+fn exit_code(result: io::Result<()>) -> u8 {
+    match result {
+        Ok(()) => EXIT_OK,
+        Err(err) => {
+            error!("event=start_failed error=\"{err}\"");
+            EXIT_FAILED
+        }
+    }
+}
--- a/src/core/config/fold.rs
+++ b/src/core/config/fold.rs
@@ -103,15 +103,10 @@
         self.advance(offset);
         let suspects = &mut Arc::make_mut(&mut self.state).suspects;
         for fingerprint in &crash.suspects {
-            let suspect = suspects
-                .entry(*fingerprint)
-                .or_insert(Suspect { crashes: 0, at: 0 });
+            let suspect = suspects.entry(*fingerprint).or_insert(Suspect { crashes: 0, at: 0 });
             // One record counts once, however often it names the request.
             if suspect.at < offset {
-                *suspect = Suspect {
-                    crashes: suspect.crashes + 1,
-                    at: offset,
-                };
+                *suspect = Suspect { crashes: suspect.crashes + 1, at: offset };
             }
         }
         while MAX_SUSPECTS < suspects.len() {
@@ -145,10 +140,7 @@
     let path = change.action.path();
     let current = state.path_revision(&path);
     if change.base != current {
-        let text = format!(
-            "{path:?} is at revision {current}, the change names {}",
-            change.base
-        );
+        let text = format!("{path:?} is at revision {current}, the change names {}", change.base);
         return refuse(Code::StaleBase, text);
     }
     let mut next = state.clone();
@@ -159,10 +151,7 @@
     if worse.is_empty() {
         return Ok(next);
     }
-    refuse(
-        Code::DoesNotFit,
-        format!("too few engines have room for models {worse:?}"),
-    )
+    refuse(Code::DoesNotFit, format!("too few engines have room for models {worse:?}"))
 }
 
 fn apply_action(state: &mut State, action: &Action) -> Result<(), Refusal> {
@@ -171,12 +160,7 @@
             checked_value(key, *value)?;
             state.defaults.insert(key.clone(), *value);
         }
-        Action::Except {
-            selector,
-            key,
-            value,
-            reason,
-        } => {
+        Action::Except { selector, key, value, reason } => {
             except(state, selector, key, *value, reason)?;
         }
         Action::Drop { selector, key } => drop_exception(state, selector, key)?,
@@ -187,15 +171,10 @@
 }
 
 fn checked_value(name: &str, value: u64) -> Result<Key, Refusal> {
-    let key: Key = name
-        .parse()
-        .map_err(|text: String| Refusal::new(Code::UnknownKey, text))?;
+    let key: Key = name.parse().map_err(|text: String| Refusal::new(Code::UnknownKey, text))?;
     let (min, max) = key.range();
     if value < min || max < value {
-        return refuse(
-            Code::BadValue,
-            format!("{key} takes {min} to {max}, not {value}"),
-        );
+        return refuse(Code::BadValue, format!("{key} takes {min} to {max}, not {value}"));
     }
     Ok(key)
 }
@@ -209,42 +188,23 @@
 ) -> Result<(), Refusal> {
     let key = checked_value(name, value)?;
     if reason.trim().is_empty() {
-        return refuse(
-            Code::MissingReason,
-            format!("exception {selector} {key} has no reason"),
-        );
+        return refuse(Code::MissingReason, format!("exception {selector} {key} has no reason"));
     }
     if !key.scopes().contains(&selector.kind) {
-        return refuse(
-            Code::BadSelector,
-            format!("{key} takes no exception for {selector}"),
-        );
+        return refuse(Code::BadSelector, format!("{key} takes no exception for {selector}"));
     }
     if state.item(selector.kind, &selector.name).is_none() {
         return refuse(Code::BadSelector, format!("{selector} is not configured"));
     }
-    let exception = Exception {
-        value,
-        reason: reason.to_owned(),
-    };
-    state
-        .exceptions
-        .entry(selector.clone())
-        .or_default()
-        .insert(name.to_owned(), exception);
+    let exception = Exception { value, reason: reason.to_owned() };
+    state.exceptions.entry(selector.clone()).or_default().insert(name.to_owned(), exception);
     Ok(())
 }
 
 fn drop_exception(state: &mut State, selector: &Selector, key: &str) -> Result<(), Refusal> {
-    let removed = state
-        .exceptions
-        .get_mut(selector)
-        .and_then(|m| m.remove(key));
+    let removed = state.exceptions.get_mut(selector).and_then(|m| m.remove(key));
     if removed.is_none() {
-        return refuse(
-            Code::NothingToDrop,
-            format!("{selector} has no exception for {key:?}"),
-        );
+        return refuse(Code::NothingToDrop, format!("{selector} has no exception for {key:?}"));
     }
     state.exceptions.retain(|_, m| !m.is_empty());
     Ok(())
@@ -258,20 +218,13 @@
     }
     let missing = match item {
         Item::Adapter { model, .. } => missing(state, ItemKind::Model, model),
-        Item::Endpoint {
-            service: Some(service),
-            ..
-        } => missing(state, ItemKind::Service, service),
+        Item::Endpoint { service: Some(service), .. } => missing(state, ItemKind::Service, service),
         _ => None,
     };
     if let Some(text) = missing {
         return refuse(Code::BadSelector, text);
     }
-    state
-        .items
-        .entry(item.kind())
-        .or_default()
-        .insert(name.to_owned(), item.clone());
+    state.items.entry(item.kind()).or_default().insert(name.to_owned(), item.clone());
     Ok(())
 }
 
@@ -283,31 +236,17 @@
 fn retire(state: &mut State, kind: ItemKind, name: &str) -> Result<(), Refusal> {
     let removed = state.items.get_mut(&kind).and_then(|m| m.remove(name));
     if removed.is_none() {
-        return refuse(
-            Code::NothingToDrop,
-            format!("{kind} {name:?} is not configured"),
-        );
+        return refuse(Code::NothingToDrop, format!("{kind} {name:?} is not configured"));
     }
-    let used = state
-        .items
-        .values()
-        .flat_map(|m| m.iter())
-        .find(|(_, item)| match item {
-            Item::Adapter { model, .. } => kind == ItemKind::Model && model == name,
-            Item::Endpoint {
-                service: Some(s), ..
-            } => kind == ItemKind::Service && s == name,
-            _ => false,
-        });
+    let used = state.items.values().flat_map(|m| m.iter()).find(|(_, item)| match item {
+        Item::Adapter { model, .. } => kind == ItemKind::Model && model == name,
+        Item::Endpoint { service: Some(s), .. } => kind == ItemKind::Service && s == name,
+        _ => false,
+    });
     if let Some((user, _)) = used {
-        return refuse(
-            Code::BadSelector,
-            format!("{kind} {name:?} is used by {user:?}"),
-        );
+        return refuse(Code::BadSelector, format!("{kind} {name:?} is used by {user:?}"));
     }
     // Exceptions of the item go with it: a later item of that name starts without them.
-    state
-        .exceptions
-        .retain(|s, _| !(s.kind == kind && s.name == name));
+    state.exceptions.retain(|s, _| !(s.kind == kind && s.name == name));
     Ok(())
 }
--- a/src/core/config/key.rs
+++ b/src/core/config/key.rs
@@ -106,10 +106,7 @@
         let Some((kind, name)) = text.split_once('=') else {
             return Err(format!("selector {text:?} is not of the form kind=name"));
         };
-        Ok(Self {
-            kind: kind.parse()?,
-            name: name.to_owned(),
-        })
+        Ok(Self { kind: kind.parse()?, name: name.to_owned() })
     }
 }
 
--- a/src/core/config/state.rs
+++ b/src/core/config/state.rs
@@ -34,18 +34,12 @@
 impl<'a> Scope<'a> {
     /// The scope of one endpoint.
     pub fn endpoint(id: &'a str) -> Self {
-        Self {
-            endpoint: Some(id),
-            ..Self::default()
-        }
+        Self { endpoint: Some(id), ..Self::default() }
     }
 
     /// The scope of one model.
     pub fn model(name: &'a str) -> Self {
-        Self {
-            model: Some(name),
-            ..Self::default()
-        }
+        Self { model: Some(name), ..Self::default() }
     }
 
     fn name(&self, kind: ItemKind) -> Option<&'a str> {
@@ -100,22 +94,13 @@
             let Some(name) = scope.name(*kind) else {
                 continue;
             };
-            let selector = Selector {
-                kind: *kind,
-                name: name.to_owned(),
-            };
-            let found = self
-                .exceptions
-                .get(&selector)
-                .and_then(|m| m.get(key.name()));
+            let selector = Selector { kind: *kind, name: name.to_owned() };
+            let found = self.exceptions.get(&selector).and_then(|m| m.get(key.name()));
             if let Some(exception) = found {
                 return exception.value;
             }
         }
-        self.defaults
-            .get(key.name())
-            .copied()
-            .unwrap_or(key.default_value())
+        self.defaults.get(key.name()).copied().unwrap_or(key.default_value())
     }
 
     /// A value whose unit is milliseconds.
@@ -130,33 +115,23 @@
 
     /// All items of one kind in the order of their names.
     pub fn items(&self, kind: ItemKind) -> impl Iterator<Item = (&str, &Item)> {
-        self.items
-            .get(&kind)
-            .into_iter()
-            .flatten()
-            .map(|(n, i)| (n.as_str(), i))
+        self.items.get(&kind).into_iter().flatten().map(|(n, i)| (n.as_str(), i))
     }
 
     /// Names and weights of all models.
     pub fn models(&self) -> impl Iterator<Item = (&str, Mib)> {
-        self.items(ItemKind::Model)
-            .filter_map(|(name, item)| match item {
-                Item::Model { memory_mib, .. } => Some((name, *memory_mib)),
-                _ => None,
-            })
+        self.items(ItemKind::Model).filter_map(|(name, item)| match item {
+            Item::Model { memory_mib, .. } => Some((name, *memory_mib)),
+            _ => None,
+        })
     }
 
     /// Names and memory of all engines, plain services left out.
     pub fn engines(&self) -> impl Iterator<Item = (&str, Mib)> {
-        self.items(ItemKind::Endpoint)
-            .filter_map(|(name, item)| match item {
-                Item::Endpoint {
-                    memory_mib,
-                    service: None,
-                    ..
-                } => Some((name, *memory_mib)),
-                _ => None,
-            })
+        self.items(ItemKind::Endpoint).filter_map(|(name, item)| match item {
+            Item::Endpoint { memory_mib, service: None, .. } => Some((name, *memory_mib)),
+            _ => None,
+        })
     }
 
     /// Memory of an engine that models may take, MiB.
--- a/src/core/idempotency/attempt_memory.rs
+++ b/src/core/idempotency/attempt_memory.rs
@@ -100,13 +100,7 @@
         if expired || ticket < self.forgotten_before {
             return Err(NotAdmitted::StaleTicket);
         }
-        self.attempts.insert(
-            attempt.clone(),
-            Memory {
-                ticket,
-                seen: Seen::Running,
-            },
-        );
+        self.attempts.insert(attempt.clone(), Memory { ticket, seen: Seen::Running });
         Ok(())
     }
 
@@ -131,13 +125,7 @@
         if ticket < self.forgotten_before {
             return FenceState::Unknown;
         }
-        self.attempts.insert(
-            attempt.clone(),
-            Memory {
-                ticket,
-                seen: Seen::Fenced,
-            },
-        );
+        self.attempts.insert(attempt.clone(), Memory { ticket, seen: Seen::Fenced });
         self.ended(attempt);
         FenceState::NeverRan
     }
--- a/src/core/idempotency/book.rs
+++ b/src/core/idempotency/book.rs
@@ -80,11 +80,7 @@
         match record {
             ClaimRecord::Claim(claim) => self.claim(offset, claim),
             ClaimRecord::Settle(settle) => {
-                self.change(
-                    &settle.key,
-                    &settle.attempt,
-                    Standing::Settled(settle.answer),
-                );
+                self.change(&settle.key, &settle.attempt, Standing::Settled(settle.answer));
             }
             ClaimRecord::Abandon { key, attempt } => {
                 self.change(&key, &attempt, Standing::Abandoned);
@@ -113,11 +109,7 @@
             },
         };
         if wins {
-            let held = Held {
-                offset,
-                claim,
-                standing: Standing::Open,
-            };
+            let held = Held { offset, claim, standing: Standing::Open };
             self.keys.insert(held.claim.key.clone(), held);
         }
     }
--- a/src/core/idempotency/dispatch.rs
+++ b/src/core/idempotency/dispatch.rs
@@ -147,19 +147,8 @@
     /// The machine and its first action.
     pub fn new(request: Request) -> (Self, Action) {
         let state = State::Choosing { supersedes: None };
-        let me = Self {
-            request,
-            state,
-            attempts: 0,
-            excluded: Vec::new(),
-            refusal: None,
-        };
-        (
-            me,
-            Action::Choose {
-                exclude: Vec::new(),
-            },
-        )
+        let me = Self { request, state, attempts: 0, excluded: Vec::new(), refusal: None };
+        (me, Action::Choose { exclude: Vec::new() })
     }
 
     /// Takes an event and returns the next action. An event that does not
@@ -180,11 +169,9 @@
                 self.excluded.push(claim.agent.clone());
                 self.again(now, refusal, offset)
             }
-            (State::Running { claim, offset }, Event::Broken(_)) => self.fence(Held {
-                offset,
-                claim,
-                standing: Standing::Open,
-            }),
+            (State::Running { claim, offset }, Event::Broken(_)) => {
+                self.fence(Held { offset, claim, standing: Standing::Open })
+            }
             (State::Waiting(held), Event::Waited) => {
                 self.state = State::Looking(held);
                 Action::Look
@@ -230,20 +217,14 @@
     fn claimed(&mut self, claim: Claim, verdict: ClaimVerdict) -> Action {
         match verdict {
             ClaimVerdict::Won(offset) => {
-                self.state = State::Running {
-                    claim: claim.clone(),
-                    offset,
-                };
+                self.state = State::Running { claim: claim.clone(), offset };
                 Action::Run(claim)
             }
             ClaimVerdict::Held(held) => self.held_by_other(*held),
             ClaimVerdict::Free | ClaimVerdict::Unavailable => {
                 let text = format!("the key {:?} could not be claimed", self.request.key);
                 let refusal = Refusal::new(Code::ClaimUnavailable, text).retry_after(RETRY_LATER);
-                Action::Finish {
-                    record: Some(abandon(&claim)),
-                    result: Err(refusal),
-                }
+                Action::Finish { record: Some(abandon(&claim)), result: Err(refusal) }
             }
         }
     }
@@ -313,55 +294,33 @@
             let refusal = self.refusal.take();
             return self.not_run(refusal.unwrap_or_else(|| Refusal::new(Code::NoEndpoint, text)));
         }
-        self.state = State::Choosing {
-            supersedes: Some(offset),
-        };
-        Action::Choose {
-            exclude: self.excluded.clone(),
-        }
+        self.state = State::Choosing { supersedes: Some(offset) };
+        Action::Choose { exclude: self.excluded.clone() }
     }
 
     /// Ends without a run. The last claim, when this call made one, is free again.
     fn not_run(&self, refusal: Refusal) -> Action {
         let last: AttemptId = format!("{}.{}", self.request.id, self.attempts).into();
-        let record = ClaimRecord::Abandon {
-            key: self.request.key.clone(),
-            attempt: last,
-        };
+        let record = ClaimRecord::Abandon { key: self.request.key.clone(), attempt: last };
         let record = (self.attempts != 0).then_some(record);
-        Action::Finish {
-            record,
-            result: Err(refusal.outcome(Outcome::NotRun)),
-        }
+        Action::Finish { record, result: Err(refusal.outcome(Outcome::NotRun)) }
     }
 }
 
 const RETRY_LATER: Duration = Duration::from_secs(1);
 
 fn abandon(claim: &Claim) -> ClaimRecord {
-    ClaimRecord::Abandon {
-        key: claim.key.clone(),
-        attempt: claim.attempt.clone(),
-    }
+    ClaimRecord::Abandon { key: claim.key.clone(), attempt: claim.attempt.clone() }
 }
 
 fn finish(result: Result<Answer, Refusal>) -> Action {
-    Action::Finish {
-        record: None,
-        result,
-    }
+    Action::Finish { record: None, result }
 }
 
 fn settled(claim: &Claim, answer: Answer) -> Action {
-    let settle = Settle {
-        key: claim.key.clone(),
-        attempt: claim.attempt.clone(),
-        answer: answer.clone(),
-    };
-    Action::Finish {
-        record: Some(ClaimRecord::Settle(settle)),
-        result: Ok(answer),
-    }
+    let settle =
+        Settle { key: claim.key.clone(), attempt: claim.attempt.clone(), answer: answer.clone() };
+    Action::Finish { record: Some(ClaimRecord::Settle(settle)), result: Ok(answer) }
 }
 
 fn unknown(text: &str) -> Action {
--- a/src/core/idempotency/records.rs
+++ b/src/core/idempotency/records.rs
@@ -88,13 +88,7 @@
     /// ```
     pub fn kept(status: u16, content_type: &str, body: &[u8]) -> Self {
         let small = body.len() <= Self::MAX_KEPT_BYTES;
-        let text = small
-            .then(|| String::from_utf8(body.to_vec()).ok())
-            .flatten();
-        Self {
-            status,
-            content_type: content_type.to_owned(),
-            body: text,
-        }
+        let text = small.then(|| String::from_utf8(body.to_vec()).ok()).flatten();
+        Self { status, content_type: content_type.to_owned(), body: text }
     }
 }
--- a/src/core/limits/fair_queue.rs
+++ b/src/core/limits/fair_queue.rs
@@ -73,13 +73,7 @@
 impl<T> FairQueue<T> {
     /// An empty queue for at most `limit` items.
     pub fn new(limit: usize) -> Self {
-        Self {
-            limit,
-            len: 0,
-            clock: 0.0,
-            flows: BTreeMap::new(),
-            finish: HashMap::new(),
-        }
+        Self { limit, len: 0, clock: 0.0, flows: BTreeMap::new(), finish: HashMap::new() }
     }
 
     /// Changes the limit; items over it stay.
@@ -106,18 +100,9 @@
             return Err(item);
         }
         let key = (flow.tenant.clone(), flow.class.clone());
-        let start = self
-            .finish
-            .get(&key)
-            .copied()
-            .unwrap_or(0.0)
-            .max(self.clock);
+        let start = self.finish.get(&key).copied().unwrap_or(0.0).max(self.clock);
         self.finish.insert(key.clone(), start + 1.0 / flow.share());
-        let waiting = Waiting {
-            start,
-            latest_start,
-            item,
-        };
+        let waiting = Waiting { start, latest_start, item };
         self.flows.entry(key).or_default().push_back(waiting);
         self.len += 1;
         Ok(())
@@ -128,10 +113,7 @@
         if let Some(item) = self.pop_expired(now) {
             return Some(Popped::Expired(item));
         }
-        let heads = self
-            .flows
-            .iter()
-            .filter_map(|(k, q)| Some((k, q.front()?.start)));
+        let heads = self.flows.iter().filter_map(|(k, q)| Some((k, q.front()?.start)));
         let (key, start) = heads.min_by(|a, b| a.1.total_cmp(&b.1))?;
         let key = key.clone();
         self.clock = self.clock.max(start);
@@ -143,10 +125,7 @@
     /// Takes out one item that can no longer start in time.
     pub fn pop_expired(&mut self, now: Instant) -> Option<T> {
         let late = |q: &VecDeque<Waiting<T>>| q.iter().position(|w| w.latest_start < now);
-        let found = self
-            .flows
-            .iter()
-            .find_map(|(k, q)| Some((k.clone(), late(q)?)));
+        let found = self.flows.iter().find_map(|(k, q)| Some((k.clone(), late(q)?)));
         let (key, index) = found?;
         let waiting = self.flows.get_mut(&key)?.remove(index)?;
         self.removed(&key);
--- a/src/core/limits/tenant_limits.rs
+++ b/src/core/limits/tenant_limits.rs
@@ -7,8 +7,9 @@
     errors::{Code, Refusal},
 };
 
-// Retries that a tenant may make before it has sent enough requests to earn them.
-const RETRY_BURST: f64 = 10.0;
+// Retries that a tenant may make at once: the requests that two endpoints run together,
+// so that the loss of an endpoint loses no request of a tenant that sends few.
+const RETRY_BURST: f64 = 64.0;
 
 /// Values in force for one tenant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -64,10 +65,7 @@
             running: 0,
         });
         if limits.concurrency <= usage.running {
-            let text = format!(
-                "tenant {tenant:?} has {} requests in progress",
-                usage.running
-            );
+            let text = format!("tenant {tenant:?} has {} requests in progress", usage.running);
             return Err(Refusal::new(Code::ConcurrencyLimited, text));
         }
         usage.rate.configure(rate, rate);
--- a/src/core/limits/token_bucket.rs
+++ b/src/core/limits/token_bucket.rs
@@ -24,12 +24,7 @@
 impl TokenBucket {
     /// A full bucket.
     pub fn new(per_second: f64, burst: f64, now: Instant) -> Self {
-        Self {
-            per_second,
-            burst,
-            tokens: burst,
-            at: now,
-        }
+        Self { per_second, burst, tokens: burst, at: now }
     }
 
     /// Changes rate and burst and keeps what is in the bucket.
--- a/src/core/memory/ledger.rs
+++ b/src/core/memory/ledger.rs
@@ -49,10 +49,7 @@
 impl Ledger {
     /// An empty ledger.
     pub fn new(capacity: Mib) -> Self {
-        Self {
-            capacity,
-            slots: BTreeMap::new(),
-        }
+        Self { capacity, slots: BTreeMap::new() }
     }
 
     /// Memory of the engine, MiB.
@@ -90,29 +87,15 @@
         let size = size.max(held);
         let used = self.used() - held + size;
         if self.capacity < used {
-            return Err(NoRoom {
-                missing: used - self.capacity,
-            });
+            return Err(NoRoom { missing: used - self.capacity });
         }
-        self.slots.insert(
-            resource,
-            Slot {
-                size,
-                residency: Residency::Loading,
-            },
-        );
+        self.slots.insert(resource, Slot { size, residency: Residency::Loading });
         Ok(())
     }
 
     /// Notes that the engine confirmed a resource with its size.
     pub fn confirm(&mut self, resource: &Resource, size: Mib) {
-        self.slots.insert(
-            resource.clone(),
-            Slot {
-                size,
-                residency: Residency::Resident,
-            },
-        );
+        self.slots.insert(resource.clone(), Slot { size, residency: Residency::Resident });
     }
 
     /// Notes that a resource is about to be unloaded. Its memory still counts.
--- a/src/core/memory/resource.rs
+++ b/src/core/memory/resource.rs
@@ -36,10 +36,7 @@
     /// assert_eq!(Resource::model("roster", 2).to_string(), "model/roster/2");
     /// ```
     pub fn model(name: &str, version: u32) -> Self {
-        Self::Model {
-            name: name.into(),
-            version,
-        }
+        Self::Model { name: name.into(), version }
     }
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,5 +12,6 @@
 pub mod memory;
 pub mod orders;
 pub mod placement;
+pub mod quarantine;
 pub mod routing;
 pub mod scheduling;
--- a/src/core/orders/controller.rs
+++ b/src/core/orders/controller.rs
@@ -193,9 +193,7 @@
             return;
         }
         self.ledger.unloading(resource);
-        self.queue.push_back(Order::Unload {
-            resource: resource.clone(),
-        });
+        self.queue.push_back(Order::Unload { resource: resource.clone() });
     }
 
     /// Queues a change of role, counting the larger KV cache until it is confirmed.
@@ -218,7 +216,7 @@
         match event {
             Event::Answered { number, result } => self.answered(number, result),
             Event::NoAnswer { number } => self.no_answer(now, number),
-            Event::State(state) => self.state_read(now, &state),
+            Event::State(state) => self.state_read(&state),
             Event::NoState => self.reading = false,
             Event::Tick => {}
         }
@@ -248,10 +246,7 @@
             self.reading = true;
             return Some(Action::ReadState);
         }
-        let next = self
-            .queue
-            .iter()
-            .position(|order| self.allowed(now, order))?;
+        let next = self.queue.iter().position(|order| self.allowed(now, order))?;
         let order = self.queue.remove(next)?;
         Some(self.send(now, order))
     }
@@ -278,20 +273,12 @@
 
     fn send(&mut self, now: Instant, order: Order) -> Action {
         self.counter += 1;
-        let number = Fencing {
-            incarnation: self.settings.incarnation,
-            counter: self.counter,
-        };
+        let number = Fencing { incarnation: self.settings.incarnation, counter: self.counter };
         if let Some(resource) = order.resource() {
-            self.quiet_at
-                .insert(resource.clone(), now + self.settings.order_delay_max);
+            self.quiet_at.insert(resource.clone(), now + self.settings.order_delay_max);
             self.last.insert(resource.clone(), order.clone());
         }
-        self.outstanding = Some(Outstanding {
-            number,
-            order: order.clone(),
-            resend_at: None,
-        });
+        self.outstanding = Some(Outstanding { number, order: order.clone(), resend_at: None });
         Action::Send { number, order }
     }
 
@@ -343,12 +330,12 @@
         }
     }
 
-    fn state_read(&mut self, now: Instant, state: &EngineState) {
+    fn state_read(&mut self, state: &EngineState) {
         self.reading = false;
         match self.phase {
             Phase::Settling { .. } => {}
             Phase::Adopting => self.adopt(state),
-            Phase::Running => self.reconcile(now, state),
+            Phase::Running => self.reconcile(state),
         }
     }
 
@@ -369,32 +356,32 @@
             return;
         };
         if self.ledger.reserve(resource.clone(), *size).is_ok() {
-            self.queue.push_back(Order::Load {
-                resource: resource.clone(),
-                size: *size,
-            });
+            self.queue.push_back(Order::Load { resource: resource.clone(), size: *size });
         }
     }
 
-    /// Compares the engine with the ledger while no order is outstanding.
-    fn reconcile(&mut self, now: Instant, state: &EngineState) {
+    /// Compares the engine with the ledger while no order is outstanding. What
+    /// the engine has lost is ordered again under the reservation that it has.
+    fn reconcile(&mut self, state: &EngineState) {
         for (resource, size) in &state.held {
             if self.ledger.slot(resource).is_none() {
                 self.ledger.confirm(resource, *size);
             }
         }
         let held = |r: &Resource| state.held.iter().any(|(h, _)| h == r);
-        let gone: Vec<Resource> = self
+        let gone: Vec<(Resource, Mib)> = self
             .ledger
             .slots()
             .filter(|(r, slot)| slot.residency == Residency::Resident && !held(r))
-            .map(|(r, _)| r.clone())
+            .map(|(r, slot)| (r.clone(), slot.size))
             .collect();
-        for resource in gone {
-            let quiet = self.quiet_at.get(&resource).is_none_or(|at| *at < now);
-            if quiet {
-                self.ledger.free_slot(&resource);
-            }
+        for (resource, size) in gone {
+            // The reservation is there already, so there is room.
+            let _ = self.ledger.reserve(resource.clone(), size);
+            self.queue.push_back(match resource {
+                Resource::KvCache => Order::SetRole { role: self.role, kv_cache: size },
+                _ => Order::Load { resource, size },
+            });
         }
     }
 }
--- a/src/core/placement/needs.rs
+++ b/src/core/placement/needs.rs
@@ -29,11 +29,7 @@
         Some((model, adapter)) => (model, Some(adapter)),
         None => (target, None),
     };
-    let Some(Item::Model {
-        memory_mib,
-        version,
-    }) = state.item(ItemKind::Model, model)
-    else {
+    let Some(Item::Model { memory_mib, version }) = state.item(ItemKind::Model, model) else {
         return Err(unknown(model));
     };
     let mut needed = vec![(Resource::model(model, *version), *memory_mib)];
@@ -41,14 +37,8 @@
         return Ok(needed);
     };
     match state.item(ItemKind::Adapter, adapter) {
-        Some(Item::Adapter {
-            model: of,
-            memory_mib,
-        }) if of == model => {
-            let resource = Resource::Adapter {
-                model: model.into(),
-                name: adapter.into(),
-            };
+        Some(Item::Adapter { model: of, memory_mib }) if of == model => {
+            let resource = Resource::Adapter { model: model.into(), name: adapter.into() };
             needed.push((resource, *memory_mib));
             Ok(needed)
         }
--- a/src/core/placement/plan.rs
+++ b/src/core/placement/plan.rs
@@ -22,10 +22,7 @@
     /// Models of one engine.
     pub fn models_of<'a>(&'a self, engine: &'a str) -> impl Iterator<Item = &'a ModelName> {
         let holds = move |engines: &Vec<EndpointId>| engines.iter().any(|e| &**e == engine);
-        self.replicas
-            .iter()
-            .filter(move |(_, e)| holds(e))
-            .map(|(m, _)| m)
+        self.replicas.iter().filter(move |(_, e)| holds(e)).map(|(m, _)| m)
     }
 
     /// Whether an engine is to hold a model.
@@ -35,9 +32,6 @@
 
     /// Models that no engine holds, to be loaded on demand.
     pub fn on_demand(&self) -> impl Iterator<Item = &ModelName> {
-        self.replicas
-            .iter()
-            .filter(|(_, e)| e.is_empty())
-            .map(|(m, _)| m)
+        self.replicas.iter().filter(|(_, e)| e.is_empty()).map(|(m, _)| m)
     }
 }
--- a/src/core/routing/candidates.rs
+++ b/src/core/routing/candidates.rs
@@ -76,14 +76,7 @@
         _ => 0,
     };
     let all = state.items(ItemKind::Endpoint).filter_map(|(name, item)| {
-        let Item::Endpoint {
-            agent,
-            region,
-            zone,
-            memory_mib,
-            service,
-        } = item
-        else {
+        let Item::Endpoint { agent, region, zone, memory_mib, service } = item else {
             return None;
         };
         let able = match (wanted, service) {
--- a/src/core/routing/health.rs
+++ b/src/core/routing/health.rs
@@ -35,10 +35,8 @@
 impl Health {
     /// Notes that an endpoint did not answer.
     pub fn failed(&mut self, now: Instant, endpoint: &EndpointId) {
-        let record = self.records.entry(endpoint.clone()).or_insert(Record {
-            failures: 0,
-            until: now,
-        });
+        let record =
+            self.records.entry(endpoint.clone()).or_insert(Record { failures: 0, until: now });
         let doubled = FIRST_BACKOFF * 2u32.pow(record.failures.min(6));
         record.failures += 1;
         record.until = now + doubled.min(LAST_BACKOFF);
@@ -46,10 +44,7 @@
 
     /// Notes that an endpoint is leaving; it is not asked for the longest backoff.
     pub fn leaving(&mut self, now: Instant, endpoint: &EndpointId) {
-        let record = Record {
-            failures: 1,
-            until: now + LAST_BACKOFF,
-        };
+        let record = Record { failures: 1, until: now + LAST_BACKOFF };
         self.records.insert(endpoint.clone(), record);
     }
 
--- a/src/core/routing/probe.rs
+++ b/src/core/routing/probe.rs
@@ -41,11 +41,7 @@
 }
 
 fn cost(offer: &Offer) -> Duration {
-    let load = if offer.resident {
-        Duration::ZERO
-    } else {
-        NOT_RESIDENT
-    };
+    let load = if offer.resident { Duration::ZERO } else { NOT_RESIDENT };
     offer.expected + load + penalty(offer.distance) + PER_RANK * offer.rank.min(2) as u32
 }
 
--- a/src/core/scheduling/crash_watch.rs
+++ b/src/core/scheduling/crash_watch.rs
@@ -35,10 +35,7 @@
 impl CrashWatch {
     /// Quarantines at `limit` crashes.
     pub fn new(limit: u32) -> Self {
-        Self {
-            limit,
-            crashes: HashMap::new(),
-        }
+        Self { limit, crashes: HashMap::new() }
     }
 
     /// Changes the limit.
--- a/src/core/scheduling/scheduler.rs
+++ b/src/core/scheduling/scheduler.rs
@@ -152,18 +152,13 @@
     pub fn offer(&mut self, now: Instant, job: Job) -> Result<(), Refusal> {
         let estimate = self.estimate();
         let full = self.traits.max_running <= self.running.len();
-        let wait = if full {
-            self.wait_for_slot()
-        } else {
-            Duration::ZERO
-        };
+        let wait = if full { self.wait_for_slot() } else { Duration::ZERO };
         if job.latest_start < now + wait {
             let text = format!("a start is expected in {} ms", wait.as_millis());
             return Err(retry(Code::DeadlineTooShort, text, estimate.first_token));
         }
         if job.isolated {
-            self.isolated
-                .push_back((job.attempt, job.fingerprint, job.latest_start));
+            self.isolated.push_back((job.attempt, job.fingerprint, job.latest_start));
             return Ok(());
         }
         let item = (job.attempt, job.fingerprint);
@@ -173,12 +168,10 @@
             .queue_limit
             .max(self.traits.max_running - self.running().min(self.traits.max_running));
         self.queue.set_limit(limit);
-        self.queue
-            .push(&job.flow, job.latest_start, item)
-            .map_err(|_| {
-                let text = format!("{limit} requests wait");
-                retry(Code::QueueFull, text, estimate.first_token)
-            })
+        self.queue.push(&job.flow, job.latest_start, item).map_err(|_| {
+            let text = format!("{limit} requests wait");
+            retry(Code::QueueFull, text, estimate.first_token)
+        })
     }
 
     /// The next request to start or to refuse; to be called until it returns nothing.
@@ -186,10 +179,7 @@
         if let Some((attempt, _)) = self.queue.pop_expired(now) {
             return Some(Next::Expired(attempt));
         }
-        let late = self
-            .isolated
-            .iter()
-            .position(|(_, _, latest)| *latest < now);
+        let late = self.isolated.iter().position(|(_, _, latest)| *latest < now);
         if let Some((attempt, _, _)) = late.and_then(|i| self.isolated.remove(i)) {
             return Some(Next::Expired(attempt));
         }
@@ -218,10 +208,7 @@
     /// Notes that an attempt ended.
     pub fn ended(&mut self, now: Instant, attempt: &str) {
         if let Some(running) = self.running.remove(attempt) {
-            average(
-                &mut self.duration,
-                now.saturating_duration_since(running.since),
-            );
+            average(&mut self.duration, now.saturating_duration_since(running.since));
         }
     }
 
@@ -233,10 +220,7 @@
 
     /// Takes out all requests that run, when the endpoint crashed, with their fingerprints.
     pub fn crashed(&mut self) -> Vec<(AttemptId, u64)> {
-        self.running
-            .drain()
-            .map(|(a, r)| (a, r.fingerprint))
-            .collect()
+        self.running.drain().map(|(a, r)| (a, r.fingerprint)).collect()
     }
 
     /// Takes out waiting requests of one fingerprint.
@@ -276,14 +260,7 @@
         fingerprint: u64,
         isolated: bool,
     ) -> Next {
-        self.running.insert(
-            attempt.clone(),
-            Running {
-                fingerprint,
-                isolated,
-                since: now,
-            },
-        );
+        self.running.insert(attempt.clone(), Running { fingerprint, isolated, since: now });
         Next::Start(attempt)
     }
 
@@ -296,11 +273,7 @@
 
 fn average(value: &mut f64, took: Duration) {
     let took = took.as_secs_f64();
-    *value = if *value == 0.0 {
-        took
-    } else {
-        *value + (took - *value) * NEWEST
-    };
+    *value = if *value == 0.0 { took } else { *value + (took - *value) * NEWEST };
 }
 
 fn retry(code: Code, text: String, after: Duration) -> Refusal {
--- /dev/null
+++ b/src/demo/report.rs
@@ -0,0 +1,71 @@
+//! The table that the demo prints.
+
+use std::{collections::BTreeMap, fmt, time::Duration};
+
+use crate::demo::CallResult;
+
+/// Results by tenant and class.
+#[derive(Debug, Default)]
+pub(super) struct Report {
+    rows: BTreeMap<(String, String), Row>,
+    refusals: BTreeMap<u32, u64>,
+}
+
+#[derive(Debug, Default)]
+struct Row {
+    requests: u64,
+    whole: u64,
+    attained: u64,
+    first: Vec<Duration>,
+}
+
+impl Report {
+    pub(super) fn add(&mut self, tenant: &str, class: &str, target: Duration, result: &CallResult) {
+        let row = self.rows.entry((tenant.to_owned(), class.to_owned())).or_default();
+        row.requests += 1;
+        if result.code != 0 {
+            *self.refusals.entry(result.code).or_default() += 1;
+        }
+        if result.whole {
+            row.whole += 1;
+            row.attained += u64::from(result.first <= target);
+            row.first.push(result.first);
+        }
+    }
+
+    /// Requests that had an answer which was not whole and said so by no code.
+    pub(super) fn refusals(&self) -> &BTreeMap<u32, u64> {
+        &self.refusals
+    }
+}
+
+/// The value below which a share of sorted values lies.
+fn quantile(sorted: &[Duration], share: f64) -> Duration {
+    let last = sorted.len().saturating_sub(1);
+    let index = (last as f64 * share).round() as usize;
+    sorted.get(index).copied().unwrap_or_default()
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<14} {:<10} {:>8} {:>7} {:>10} {:>11} {:>11}",
+            "tenant", "class", "requests", "whole", "attained", "first p50", "first p95"
+        )?;
+        for ((tenant, class), row) in &self.rows {
+            let mut first = row.first.clone();
+            first.sort_unstable();
+            let share = row.attained as f64 * 100.0 / row.requests.max(1) as f64;
+            writeln!(
+                f,
+                "{tenant:<14} {class:<10} {:>8} {:>7} {share:>9.1}% {:>8} ms {:>8} ms",
+                row.requests,
+                row.whole,
+                quantile(&first, 0.5).as_millis(),
+                quantile(&first, 0.95).as_millis(),
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -44,11 +44,7 @@
             let text = format!("class {class:?} is not configured");
             return Err(Refusal::new(Code::UnknownClass, text));
         }
-        let scope = Scope {
-            tenant: Some(tenant),
-            class: Some(class),
-            ..Scope::default()
-        };
+        let scope = Scope { tenant: Some(tenant), class: Some(class), ..Scope::default() };
         let default = view.state.duration(Key::DeadlineMs, &scope);
         let started = Instant::now();
         Ok(Self {
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -42,9 +42,7 @@
 
 impl<L> Clone for ClaimService<L> {
     fn clone(&self) -> Self {
-        Self {
-            inner: self.inner.clone(),
-        }
+        Self { inner: self.inner.clone() }
     }
 }
 
@@ -61,15 +59,7 @@
     /// A service of the entry of that name.
     pub fn new(name: EntryId, log: L, vms: VmWatch, channels: Channels) -> Self {
         let partitions = Mutex::default();
-        Self {
-            inner: Arc::new(Inner {
-                name,
-                log,
-                vms,
-                channels,
-                partitions,
-            }),
-        }
+        Self { inner: Arc::new(Inner { name, log, vms, channels, partitions }) }
     }
 
     /// Claims a key, at the home of its partition if that answers.
@@ -77,10 +67,7 @@
         let key = claim.key.clone();
         if let Some(home) = self.remote_home(&key) {
             let record = serde_json::to_vec(&claim).unwrap_or_default();
-            let request = ClaimRequest {
-                record: record.into(),
-                key: key.clone(),
-            };
+            let request = ClaimRequest { record: record.into(), key: key.clone() };
             if let Some(verdict) = self.ask(home, request).await {
                 return verdict;
             }
@@ -91,10 +78,7 @@
     /// Looks up who holds a key.
     pub async fn look(&self, key: &str) -> ClaimVerdict {
         if let Some(home) = self.remote_home(key) {
-            let request = ClaimRequest {
-                record: Vec::new().into(),
-                key: key.to_owned(),
-            };
+            let request = ClaimRequest { record: Vec::new().into(), key: key.to_owned() };
             if let Some(verdict) = self.ask(home, request).await {
                 return verdict;
             }
@@ -111,9 +95,7 @@
         tokio::spawn(async move {
             let bytes = serde_json::to_vec(&record).unwrap_or_default();
             let mut client = PeerClient::new(me.inner.channels.to(home));
-            let told = client.settle(SettleRequest {
-                record: bytes.into(),
-            });
+            let told = client.settle(SettleRequest { record: bytes.into() });
             if !matches!(time::timeout(PEER_LIMIT, told).await, Ok(Ok(_))) {
                 me.tell_here(record);
             }
@@ -137,11 +119,7 @@
 
     fn partition(&self, key: &str) -> Partition {
         let number = partition_of(key);
-        let mut open = self
-            .inner
-            .partitions
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut open = self.inner.partitions.lock().unwrap_or_else(PoisonError::into_inner);
         let start = || Partition::start(self.inner.log.clone(), number);
         open.entry(number).or_insert_with(start).clone()
     }
@@ -154,10 +132,7 @@
         if home == &*self.inner.name {
             return None;
         }
-        entries
-            .iter()
-            .find(|(name, _)| **name == *home)
-            .map(|(_, address)| *address)
+        entries.iter().find(|(name, _)| **name == *home).map(|(_, address)| *address)
     }
 
     async fn ask(&self, home: SocketAddr, request: ClaimRequest) -> Option<ClaimVerdict> {
@@ -182,10 +157,7 @@
 
 impl From<ClaimVerdict> for ClaimReply {
     fn from(verdict: ClaimVerdict) -> Self {
-        let mut reply = Self {
-            state: State::Unavailable.into(),
-            ..Self::default()
-        };
+        let mut reply = Self { state: State::Unavailable.into(), ..Self::default() };
         match verdict {
             ClaimVerdict::Won(offset) => {
                 reply.state = State::Won.into();
--- a/src/entry/completion.rs
+++ b/src/entry/completion.rs
@@ -1,12 +1,16 @@
 //! Completions: parses the body, streams or collects the answer.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
 use hyper::{Response, StatusCode, header};
 use log::info;
 use metrics::{counter, histogram};
 use serde_json::{Map, Value, json};
+use tokio::time;
 
 use crate::{
     core::{config::Key, hash, placement},
@@ -21,6 +25,7 @@
     telemetry::names,
 };
 
+const FLUSH_TIME: Duration = Duration::from_millis(50);
 // Prompts that agree so far are sent to the same endpoints.
 const PREFIX_BYTES: usize = 256;
 
@@ -86,35 +91,20 @@
         let model = map.get("model").and_then(Value::as_str);
         let target = model.ok_or_else(|| malformed("field \"model\" is missing".to_owned()))?;
         let target = target.to_owned();
-        let input = if kind == Kind::Text {
-            "prompt"
-        } else {
-            "messages"
-        };
+        let input = if kind == Kind::Text { "prompt" } else { "messages" };
         let Some(prompt) = map.get(input) else {
             return Err(malformed(format!("field {input:?} is missing")));
         };
         let prompt = prompt.to_string();
         let prefix = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
         let affinity = hash::stable(&[target.as_bytes(), prefix]);
-        let fingerprint = hash::stable(&[
-            caller.tenant.as_bytes(),
-            target.as_bytes(),
-            prompt.as_bytes(),
-        ]);
+        let fingerprint =
+            hash::stable(&[caller.tenant.as_bytes(), target.as_bytes(), prompt.as_bytes()]);
         let streamed = map.get("stream").and_then(Value::as_bool).unwrap_or(false);
         map.insert("stream".to_owned(), Value::Bool(true));
         // Callers cannot resume: the field is the system's own.
         map.remove("resume");
-        Ok(Self {
-            kind,
-            id,
-            target,
-            streamed,
-            body: map,
-            affinity,
-            fingerprint,
-        })
+        Ok(Self { kind, id, target, streamed, body: map, affinity, fingerprint })
     }
 
     /// The whole answer as JSON.
@@ -155,25 +145,13 @@
 
 impl Timing {
     fn new(caller: Caller) -> Self {
-        Self {
-            last: caller.started,
-            caller,
-            first: None,
-            tokens: 0,
-        }
+        Self { last: caller.started, caller, first: None, tokens: 0 }
     }
 
     fn token(&mut self) {
         let now = Instant::now();
-        let (tenant, class) = (
-            self.caller.tenant.to_string(),
-            self.caller.class.to_string(),
-        );
-        let name = if self.first.is_none() {
-            names::FIRST_TOKEN
-        } else {
-            names::TOKEN_GAP
-        };
+        let (tenant, class) = (self.caller.tenant.to_string(), self.caller.class.to_string());
+        let name = if self.first.is_none() { names::FIRST_TOKEN } else { names::TOKEN_GAP };
         let since = now.duration_since(self.last).as_secs_f64();
         histogram!(name, "tenant" => tenant, "class" => class).record(since);
         self.first.get_or_insert(now);
@@ -197,10 +175,7 @@
 
     fn finish<L>(&self, shared: &Shared<L>, call: &Completion, attempts: u32, code: u32) {
         let caller = &self.caller;
-        let labels = [
-            ("tenant", caller.tenant.to_string()),
-            ("class", caller.class.to_string()),
-        ];
+        let labels = [("tenant", caller.tenant.to_string()), ("class", caller.class.to_string())];
         counter!(names::REQUESTS, &labels).increment(1);
         histogram!(names::REQUEST, &labels).record(caller.started.elapsed().as_secs_f64());
         let attained = code == 0 && self.attained(shared, &call.target);
@@ -208,9 +183,7 @@
         if code != 0 {
             counter!(names::REFUSALS, "code" => code.to_string()).increment(1);
         }
-        let first = self
-            .first
-            .map(|f| f.duration_since(caller.started).as_millis());
+        let first = self.first.map(|f| f.duration_since(caller.started).as_millis());
         info!(
             "event=request id={} tenant={} class={} model={} code={code} attempts={} tokens={} \
              first_token_ms={} total_ms={}",
@@ -281,10 +254,7 @@
         }
         timing.finish(self, &call, driver.attempts(), 0);
         let text = String::from_utf8_lossy(&text);
-        Ok(http::json(
-            StatusCode::OK,
-            &call.whole(&text, timing.tokens),
-        ))
+        Ok(http::json(StatusCode::OK, &call.whole(&text, timing.tokens)))
     }
 
     async fn stream(
@@ -303,9 +273,7 @@
         let (tx, body) = ReplyBody::parts();
         let me = self.clone();
         tokio::spawn(async move {
-            let code = me
-                .forward(&call, &mut driver, &mut timing, first, &tx)
-                .await;
+            let code = me.forward(&call, &mut driver, &mut timing, first, &tx).await;
             timing.finish(&me, &call, driver.attempts(), code);
             drop(guard);
         });
@@ -338,6 +306,8 @@
                 Piece::Failed(refusal) => {
                     let event = format!("event: error\ndata: {}\n\n", refusal.to_json());
                     let _ = tx.send(Ok(event.into())).await;
+                    // The error event is written out before the transfer is broken off.
+                    time::sleep(FLUSH_TIME).await;
                     let _ = tx.send(Err(Broken)).await;
                     return refusal.code.number();
                 }
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -7,6 +7,7 @@
 };
 
 use bytes::Bytes;
+use futures_util::future::join;
 use log::debug;
 use metrics::counter;
 use serde_json::{Map, Value, json};
@@ -18,11 +19,15 @@
         attempt::{Action, Event, Policy, Stream},
         config::Key,
         ids::{AttemptId, EndpointId},
-        routing::Distance,
+        quarantine::Permit,
+        routing::{Candidate, Distance, Offer},
     },
     entry::{caller::Caller, probe::Wanted, shared::Shared},
     errors::{Code, Outcome, Refusal},
-    rpc::pb::{RunFrame, RunRequest, agent_client::AgentClient, run_frame::Body},
+    platform::Log,
+    rpc::pb::{
+        RunFrame, RunRequest, agent_client::AgentClient, report_request::What, run_frame::Body,
+    },
     telemetry::names,
 };
 
@@ -41,7 +46,7 @@
 }
 
 /// One request that may be repeated.
-pub(super) struct Driver<L> {
+pub(super) struct Driver<L: Log> {
     shared: Arc<Shared<L>>,
     caller: Caller,
     target: String,
@@ -53,6 +58,9 @@
     stream: Stream,
     excluded: Vec<EndpointId>,
     open: Option<Open>,
+    /// The attempt that the registry knows of, until its end is reported.
+    vetted: Option<AttemptId>,
+    proven: bool,
 }
 
 struct Open {
@@ -62,6 +70,15 @@
     frames: Streaming<RunFrame>,
 }
 
+impl<L: Log> Drop for Driver<L> {
+    fn drop(&mut self) {
+        // The caller went away: who waits for this attempt's place need not wait longer.
+        if let Some(attempt) = self.vetted.take() {
+            tokio::spawn(self.shared.report(self.fingerprint, &attempt, What::Otherwise, ""));
+        }
+    }
+}
+
 /// A request as a driver takes it.
 pub(super) struct Call {
     pub(super) id: String,
@@ -72,7 +89,7 @@
     pub(super) fingerprint: u64,
 }
 
-impl<L> Driver<L> {
+impl<L: Log> Driver<L> {
     pub(super) fn new(shared: Arc<Shared<L>>, caller: Caller, call: Call) -> Self {
         let view = shared.store.view();
         let scope = caller.scope(&call.target);
@@ -93,6 +110,8 @@
             stream: Stream::new(call.id, policy),
             excluded: Vec::new(),
             open: None,
+            vetted: None,
+            proven: false,
         }
     }
 
@@ -104,14 +123,15 @@
     /// The next part of the answer.
     pub(super) async fn next(&mut self) -> Piece {
         loop {
-            if self.open.is_none() {
-                if let Err(refusal) = self.begin().await {
-                    return Piece::Failed(self.stream.outcome(refusal));
-                }
+            if self.open.is_none()
+                && let Err(refusal) = self.begin().await
+            {
+                return Piece::Failed(self.stream.outcome(refusal));
             }
             let Some((attempt, event)) = self.receive().await else {
                 continue;
             };
+            self.report_end(&attempt, &event).await;
             match self.stream.on(Instant::now(), &attempt, event) {
                 Action::Deliver(text) => {
                     self.text.push_str(&String::from_utf8_lossy(&text));
@@ -131,12 +151,10 @@
 
     /// Opens an attempt at the endpoint with the best offer.
     async fn begin(&mut self) -> Result<(), Refusal> {
-        let (candidate, offer) = self.search().await?;
         let attempt = self.stream.begin();
-        debug!(
-            "event=attempt attempt={attempt} endpoint={}",
-            candidate.endpoint
-        );
+        self.vetted = None;
+        let (candidate, offer) = self.search(&attempt).await?;
+        debug!("event=attempt attempt={attempt} endpoint={}", candidate.endpoint);
         let request = RunRequest {
             revision: self.shared.store.revision(),
             attempt: attempt.to_string(),
@@ -159,22 +177,15 @@
         match time::timeout(self.caller.left(), client.run(request)).await {
             Ok(Ok(reply)) => {
                 let frames = reply.into_inner();
-                self.open = Some(Open {
-                    attempt,
-                    endpoint,
-                    remote,
-                    frames,
-                });
+                self.open = Some(Open { attempt, endpoint, remote, frames });
                 Ok(())
             }
             Ok(Err(status)) => {
                 self.shared.health().failed(Instant::now(), &endpoint);
+                self.tell_end(What::Otherwise, &endpoint).await;
                 self.excluded.push(endpoint);
                 let refusal = Refusal::new(Code::EndpointFailed, status.message());
-                let broken = Event::Broken {
-                    refusal,
-                    crashed: false,
-                };
+                let broken = Event::Broken { refusal, crashed: false };
                 match self.stream.on(Instant::now(), &attempt, broken) {
                     Action::Fail(refusal) => Err(refusal),
                     _ => self.may_retry("unreachable"),
@@ -188,19 +199,12 @@
     }
 
     /// Looks for an endpoint, again for a while when there is none.
-    async fn search(
-        &mut self,
-    ) -> Result<(crate::core::routing::Candidate, crate::core::routing::Offer), Refusal> {
+    async fn search(&mut self, attempt: &AttemptId) -> Result<(Candidate, Offer), Refusal> {
         let until = (Instant::now() + SEARCH_LIMIT).min(self.caller.deadline);
         loop {
-            let wanted = Wanted {
-                target: &self.target,
-                caller: &self.caller,
-                affinity: self.affinity,
-                exclude: &self.excluded,
-            };
-            let refusal = match self.shared.choose(&wanted).await {
+            let refusal = match self.find(attempt).await {
                 Ok(found) => return Ok(found),
+                Err(refusal) if refusal.code == Code::Quarantined => return Err(refusal),
                 Err(refusal) => refusal,
             };
             if until <= Instant::now() + SEARCH_AGAIN {
@@ -212,31 +216,88 @@
         }
     }
 
+    /// Probes and asks the registry at the same time, then keeps to what it said.
+    async fn find(&mut self, attempt: &AttemptId) -> Result<(Candidate, Offer), Refusal> {
+        let free = self.choose(None);
+        let (permit, chosen) = join(self.shared.vet(self.fingerprint, attempt), free).await;
+        self.vetted = Some(attempt.clone());
+        let (candidate, offer) = match &permit {
+            Permit::Quarantined(crashes) => {
+                let text = format!("the request ran at {crashes} endpoints that crashed");
+                return Err(Refusal::new(Code::Quarantined, text));
+            }
+            Permit::Follow(endpoint) => match chosen {
+                Ok(found) if found.0.endpoint == *endpoint => found,
+                _ => self.choose(Some(endpoint)).await?,
+            },
+            Permit::Wait => {
+                let text = "the same request is in progress and was not placed yet";
+                return Err(Refusal::new(Code::NoEndpoint, text).retry_after(SEARCH_AGAIN));
+            }
+            Permit::Proven | Permit::First => chosen?,
+        };
+        self.proven = permit == Permit::Proven;
+        if permit == Permit::First {
+            let placed =
+                self.shared.report(self.fingerprint, attempt, What::Placed, &candidate.endpoint);
+            tokio::spawn(placed);
+        }
+        Ok((candidate, offer))
+    }
+
+    async fn choose(&self, only: Option<&EndpointId>) -> Result<(Candidate, Offer), Refusal> {
+        let wanted = Wanted {
+            target: &self.target,
+            caller: &self.caller,
+            affinity: self.affinity,
+            exclude: &self.excluded,
+            only,
+        };
+        self.shared.choose(&wanted).await
+    }
+
+    /// Tells the registry how the current attempt ended, if the event says so.
+    async fn report_end(&mut self, attempt: &AttemptId, event: &Event) {
+        let what = match event {
+            Event::Token { .. } => return,
+            Event::Done { .. } => What::Completed,
+            Event::Broken { crashed: true, .. } => What::Crashed,
+            Event::Broken { .. } | Event::Refused(_) => What::Otherwise,
+        };
+        let Some(open) = self.open.as_ref().filter(|open| open.attempt == *attempt) else { return };
+        let endpoint = open.endpoint.clone();
+        self.tell_end(what, &endpoint).await;
+    }
+
+    async fn tell_end(&mut self, what: What, endpoint: &EndpointId) {
+        let Some(attempt) = self.vetted.take() else { return };
+        let told = self.shared.report(self.fingerprint, &attempt, what, endpoint);
+        match what {
+            // The end of what was proven before is no news.
+            What::Completed if self.proven => {}
+            What::Completed => drop(tokio::spawn(told)),
+            // The registry is to know before the next attempt asks.
+            _ => told.await,
+        }
+    }
+
     /// Waits for a frame; nothing when one carries no event.
     async fn receive(&mut self) -> Option<(AttemptId, Event)> {
         let open = self.open.as_mut()?;
         let limit = self.caller.left() + DEADLINE_GRACE;
         let received = time::timeout(limit, open.frames.message()).await;
-        let broken = |code, text: &str| Event::Broken {
-            refusal: Refusal::new(code, text),
-            crashed: false,
-        };
+        let broken =
+            |code, text: &str| Event::Broken { refusal: Refusal::new(code, text), crashed: false };
         let current = open.attempt.clone();
         let frame = match received {
             Err(_) => {
-                return Some((
-                    current,
-                    broken(Code::DeadlineExceeded, "the deadline passed"),
-                ));
+                return Some((current, broken(Code::DeadlineExceeded, "the deadline passed")));
             }
             Ok(Err(status)) => {
                 return Some((current, broken(Code::EndpointFailed, status.message())));
             }
             Ok(Ok(None)) => {
-                return Some((
-                    current,
-                    broken(Code::EndpointFailed, "the answer broke off"),
-                ));
+                return Some((current, broken(Code::EndpointFailed, "the answer broke off")));
             }
             Ok(Ok(Some(frame))) => frame,
         };
@@ -249,22 +310,14 @@
                 if remote {
                     counter!(names::CROSS_REGION).increment(token.text.len() as u64);
                 }
-                Event::Token {
-                    index: token.index,
-                    text: token.text,
-                }
+                Event::Token { index: token.index, text: token.text }
             }
-            Body::Done(done) => Event::Done {
-                tokens: done.tokens,
-            },
+            Body::Done(done) => Event::Done { tokens: done.tokens },
             Body::Refused(refused) => Event::Refused(refusal(refused)),
             Body::Failed(failed) => {
                 let code = Code::from_number(failed.code).unwrap_or(Code::EndpointFailed);
                 let refusal = Refusal::new(code, failed.message);
-                Event::Broken {
-                    refusal,
-                    crashed: failed.crashed,
-                }
+                Event::Broken { refusal, crashed: failed.crashed }
             }
         };
         Some((attempt, event))
@@ -285,15 +338,8 @@
             counter!(names::RETRIES, "reason" => reason).increment(1);
             return Ok(());
         }
-        let text = format!(
-            "the retry budget of tenant {:?} is used up",
-            self.caller.tenant
-        );
-        let outcome = if self.stream.delivered() != 0 {
-            Outcome::Ran
-        } else {
-            Outcome::Unknown
-        };
+        let text = format!("the retry budget of tenant {:?} is used up", self.caller.tenant);
+        let outcome = if self.stream.delivered() != 0 { Outcome::Ran } else { Outcome::Unknown };
         Err(Refusal::new(Code::EndpointFailed, text).outcome(outcome))
     }
 
@@ -303,10 +349,7 @@
             return serde_json::to_vec(&self.body).unwrap_or_default().into();
         }
         let mut body = self.body.clone();
-        body.insert(
-            "resume".to_owned(),
-            json!({ "tokens": tokens, "text": self.text }),
-        );
+        body.insert("resume".to_owned(), json!({ "tokens": tokens, "text": self.text }));
         serde_json::to_vec(&body).unwrap_or_default().into()
     }
 }
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -32,10 +32,7 @@
             (&Method::POST, "/v1/completions") => self.completion(Kind::Text, req).await,
             (&Method::POST, "/v1/chat/completions") => self.completion(Kind::Chat, req).await,
             (&Method::POST, path) if path.starts_with(SERVICES) => self.service(req).await,
-            _ => Err(Refusal::new(
-                Code::UnknownPath,
-                format!("{method} {path} is not served"),
-            )),
+            _ => Err(Refusal::new(Code::UnknownPath, format!("{method} {path} is not served"))),
         };
         result.unwrap_or_else(|refusal| http::refusal(&refusal))
     }
@@ -45,10 +42,7 @@
             return http::text(StatusCode::SERVICE_UNAVAILABLE, "draining\n");
         }
         if !self.store.is_ready(Instant::now()) {
-            return http::text(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "configuration not confirmed\n",
-            );
+            return http::text(StatusCode::SERVICE_UNAVAILABLE, "configuration not confirmed\n");
         }
         http::text(StatusCode::OK, "ready\n")
     }
@@ -56,16 +50,12 @@
     fn models(&self) -> Reply {
         let state = self.store.view().state;
         let models = state.models().map(|(name, _)| name.to_owned());
-        let adapters = state
-            .items(ItemKind::Adapter)
-            .filter_map(|(name, item)| match item {
-                Item::Adapter { model, .. } => Some(format!("{model}:{name}")),
-                _ => None,
-            });
-        let data: Vec<_> = models
-            .chain(adapters)
-            .map(|id| json!({ "id": id, "object": "model" }))
-            .collect();
+        let adapters = state.items(ItemKind::Adapter).filter_map(|(name, item)| match item {
+            Item::Adapter { model, .. } => Some(format!("{model}:{name}")),
+            _ => None,
+        });
+        let data: Vec<_> =
+            models.chain(adapters).map(|id| json!({ "id": id, "object": "model" })).collect();
         http::json(StatusCode::OK, &json!({ "object": "list", "data": data }))
     }
 
@@ -79,12 +69,7 @@
     }
 
     async fn service(self: &Arc<Self>, req: Request<Incoming>) -> Result<Reply, Refusal> {
-        let rest = req
-            .uri()
-            .path()
-            .strip_prefix(SERVICES)
-            .unwrap_or_default()
-            .to_owned();
+        let rest = req.uri().path().strip_prefix(SERVICES).unwrap_or_default().to_owned();
         let (name, path) = match rest.split_once('/') {
             Some((name, path)) => (name.to_owned(), format!("/{path}")),
             None => (rest, "/".to_owned()),
@@ -94,10 +79,7 @@
         let me = self.clone();
         let call = tokio::spawn(async move { me.call_service(&caller, &name, &path, body).await });
         call.await.unwrap_or_else(|_| {
-            Err(Refusal::new(
-                Code::OutcomeUnknown,
-                "the call ended unexpectedly",
-            ))
+            Err(Refusal::new(Code::OutcomeUnknown, "the call ended unexpectedly"))
         })
     }
 
@@ -108,10 +90,7 @@
     ) -> Result<(Caller, bytes::Bytes, super::shared::TenantGuard<L>), Refusal> {
         let view = self.store.view();
         if view.state.revision == 0 {
-            return Err(Refusal::new(
-                Code::NotReady,
-                "the entry has no configuration yet",
-            ));
+            return Err(Refusal::new(Code::NotReady, "the entry has no configuration yet"));
         }
         let caller = Caller::from_headers(&view, req.headers())?;
         let guard = self.begin(&view, &caller.tenant).inspect_err(|refusal| {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod probe;
 mod process;
 mod shared;
+mod vetting;
 
 pub use claims::{CLAIM_PARTITIONS, ClaimService};
 pub use process::{EntryConfig, EntryProcess, start};
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -63,20 +63,10 @@
             return Err(Refusal::new(Code::UnknownService, text));
         };
         let target = format!("service/{name}");
-        let parts: [&[u8]; 4] = [
-            caller.tenant.as_bytes(),
-            target.as_bytes(),
-            path.as_bytes(),
-            &body,
-        ];
+        let parts: [&[u8]; 4] =
+            [caller.tenant.as_bytes(), target.as_bytes(), path.as_bytes(), &body];
         let fingerprint = hash::stable(&parts);
-        let call = Call {
-            caller,
-            target,
-            path: path.to_owned(),
-            body,
-            fingerprint,
-        };
+        let call = Call { caller, target, path: path.to_owned(), body, fingerprint };
         let whole = match (&caller.key, idempotent) {
             (Some(key), _) => self.claimed(&call, key).await,
             (None, true) => self.repeated(&call).await,
@@ -110,16 +100,10 @@
 
     fn count(&self, call: &Call<'_>, result: &Result<Whole, Refusal>) {
         let caller = call.caller;
-        let labels = [
-            ("tenant", caller.tenant.to_string()),
-            ("class", caller.class.to_string()),
-        ];
+        let labels = [("tenant", caller.tenant.to_string()), ("class", caller.class.to_string())];
         let took = caller.started.elapsed();
-        let limit = self
-            .store
-            .view()
-            .state
-            .duration(Key::FirstTokenMs, &caller.scope(&call.target));
+        let limit =
+            self.store.view().state.duration(Key::FirstTokenMs, &caller.scope(&call.target));
         let code = result.as_ref().err().map_or(0, |r| r.code.number());
         counter!(names::REQUESTS, &labels).increment(1);
         let attained = code == 0 && took <= limit;
@@ -140,9 +124,7 @@
     /// Runs a call under a claim of its key.
     async fn claimed(self: &Arc<Self>, call: &Call<'_>, key: &str) -> Result<Whole, Refusal> {
         let view = self.store.view();
-        let max_attempts = view
-            .state
-            .value(Key::MaxAttempts, &call.caller.scope(&call.target));
+        let max_attempts = view.state.value(Key::MaxAttempts, &call.caller.scope(&call.target));
         let request = Request {
             id: self.request_id(),
             key: format!("{}/{}/{key}", call.caller.tenant, call.target),
@@ -187,6 +169,7 @@
             caller: call.caller,
             affinity: call.fingerprint,
             exclude,
+            only: None,
         };
         match self.choose(&wanted).await {
             Ok((candidate, offer)) => Event::Chosen(Choice {
@@ -252,10 +235,7 @@
                     }
                     Some(Body::Refused(wire)) => return Ok(Ran::Refused(refusal(wire))),
                     Some(Body::Failed(failed)) => {
-                        return Ok(Ran::Broken(Refusal::new(
-                            Code::EndpointFailed,
-                            failed.message,
-                        )));
+                        return Ok(Ran::Broken(Refusal::new(Code::EndpointFailed, failed.message)));
                     }
                     _ => {}
                 }
@@ -288,9 +268,7 @@
     async fn repeated(&self, call: &Call<'_>) -> Result<Whole, Refusal> {
         let mut exclude = Vec::new();
         let view = self.store.view();
-        let attempts = view
-            .state
-            .value(Key::MaxAttempts, &call.caller.scope(&call.target));
+        let attempts = view.state.value(Key::MaxAttempts, &call.caller.scope(&call.target));
         let mut last = self.unclaimed(call, &mut exclude).await;
         for _ in 1..attempts {
             let Err(refusal) = &last else { break };
@@ -317,6 +295,7 @@
                 caller: call.caller,
                 affinity: call.fingerprint,
                 exclude,
+                only: None,
             };
             let (candidate, offer) = self.choose(&wanted).await?;
             exclude.push(candidate.endpoint.clone());
@@ -364,20 +343,11 @@
     if let Some(whole) = whole {
         return Ok(whole);
     }
-    let Answer {
-        status,
-        content_type,
-        body: Some(body),
-    } = answer
-    else {
+    let Answer { status, content_type, body: Some(body) } = answer else {
         let text = "the request ran before; its answer was too large to keep";
         return Err(Refusal::new(Code::OutcomeUnknown, text).outcome(Outcome::Ran));
     };
-    Ok(Whole {
-        status,
-        content_type,
-        body: body.into(),
-    })
+    Ok(Whole { status, content_type, body: body.into() })
 }
 
 fn reply(whole: Whole) -> Reply {
--- a/src/entry/partition.rs
+++ b/src/entry/partition.rs
@@ -42,12 +42,8 @@
     /// Starts the task; it reads the stream when the first job comes.
     pub(super) fn start<L: Log>(log: L, number: u64) -> Self {
         let (jobs, rx) = mpsc::channel(WAITING_REQUESTS);
-        let keeper = Keeper {
-            log,
-            stream: format!("claims-{number}"),
-            book: Book::default(),
-            next: 1,
-        };
+        let keeper =
+            Keeper { log, stream: format!("claims-{number}"), book: Book::default(), next: 1 };
         tokio::spawn(keeper.run(rx));
         Self { jobs }
     }
@@ -118,11 +114,7 @@
                 Job::Look(key, tx) => {
                     let held = self.book.holder(&key).cloned();
                     let found = held.map_or(ClaimVerdict::Free, |h| ClaimVerdict::Held(h.into()));
-                    let _ = tx.send(if read {
-                        found
-                    } else {
-                        ClaimVerdict::Unavailable
-                    });
+                    let _ = tx.send(if read { found } else { ClaimVerdict::Unavailable });
                 }
                 Job::Tell(_) => {}
             }
@@ -176,8 +168,7 @@
             let read = self.read().await.is_some();
             let book = &self.book;
             let found = |c: &&Claim| {
-                book.holder(&c.key)
-                    .is_some_and(|held| held.claim.attempt == c.attempt)
+                book.holder(&c.key).is_some_and(|held| held.claim.attempt == c.attempt)
             };
             if read && wanted.iter().all(found) {
                 return true;
@@ -205,10 +196,7 @@
                 None
             }
             Err(ReadError::Unavailable(text)) => {
-                warn!(
-                    "event=log_unavailable stream={} error={text:?}",
-                    self.stream
-                );
+                warn!("event=log_unavailable stream={} error={text:?}", self.stream);
                 None
             }
         }
@@ -226,8 +214,7 @@
             }
         };
         for (i, record) in records.into_iter().enumerate() {
-            self.book
-                .apply(offset * CLAIMS_PER_RECORD + i as Offset, record);
+            self.book.apply(offset * CLAIMS_PER_RECORD + i as Offset, record);
         }
     }
 }
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -9,8 +9,8 @@
     entry::{probe::count_bytes, shared::Shared},
     platform::Log,
     rpc::pb::{
-        CatchupReply, CatchupRequest, ClaimReply, ClaimRequest, SettleReply, SettleRequest,
-        peer_server,
+        CatchupReply, CatchupRequest, ClaimReply, ClaimRequest, ReportReply, ReportRequest,
+        SettleReply, SettleRequest, VetReply, VetRequest, peer_server,
     },
 };
 
@@ -33,10 +33,7 @@
             true => serde_json::to_vec(&*view.state).unwrap_or_default(),
             false => Vec::new(),
         };
-        let reply = CatchupReply {
-            revision,
-            state: state.into(),
-        };
+        let reply = CatchupReply { revision, state: state.into() };
         count_bytes("catchup", "sent", &reply);
         Ok(Response::new(reply))
     }
@@ -62,4 +59,19 @@
         self.shared.claims.tell_here(record);
         Ok(Response::new(SettleReply { recorded: true }))
     }
+
+    async fn vet(&self, req: Request<VetRequest>) -> Result<Response<VetReply>, Status> {
+        let req = req.into_inner();
+        count_bytes("vet", "received", &req);
+        let reply = self.shared.vetting.vet(&req).await;
+        count_bytes("vet", "sent", &reply);
+        Ok(Response::new(reply))
+    }
+
+    async fn report(&self, req: Request<ReportRequest>) -> Result<Response<ReportReply>, Status> {
+        let req = req.into_inner();
+        count_bytes("vet", "received", &req);
+        self.shared.vetting.report(&req);
+        Ok(Response::new(ReportReply {}))
+    }
 }
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -33,6 +33,8 @@
     pub(super) affinity: u64,
     /// Endpoints that are not to be asked.
     pub(super) exclude: &'a [EndpointId],
+    /// The only endpoint to be asked, if there is one.
+    pub(super) only: Option<&'a EndpointId>,
 }
 
 impl<L> Shared<L> {
@@ -44,7 +46,10 @@
         let view = self.store.view();
         let model = wanted.target.split(':').next().unwrap_or_default();
         let mut all = candidates(&view.state, &view.plan, &self.site, model, wanted.affinity);
-        all.retain(|c| !wanted.exclude.contains(&c.endpoint));
+        all.retain(|c| match wanted.only {
+            Some(only) => c.endpoint == *only,
+            None => !wanted.exclude.contains(&c.endpoint),
+        });
         all.retain(|c| !self.vms.is_leaving(&c.endpoint));
         let now = Instant::now();
         {
@@ -58,22 +63,14 @@
                 .enumerate()
                 .map(|(i, candidate)| self.probe(wanted, candidate, batch * ASKED_TOGETHER + i));
             let found = join_all(asked).await;
-            offers.extend(
-                chunk
-                    .iter()
-                    .cloned()
-                    .zip(found)
-                    .filter_map(|(c, o)| Some((c, o?))),
-            );
+            offers.extend(chunk.iter().cloned().zip(found).filter_map(|(c, o)| Some((c, o?))));
             if offers.iter().any(|(_, o)| o.is_good(GOOD_WAIT)) {
                 break;
             }
         }
         let only: Vec<Offer> = offers.iter().map(|(_, o)| o.clone()).collect();
         let best = choose(&only).map(|o| o.endpoint.clone());
-        let chosen = offers
-            .into_iter()
-            .find(|(c, _)| Some(&c.endpoint) == best.as_ref());
+        let chosen = offers.into_iter().find(|(c, _)| Some(&c.endpoint) == best.as_ref());
         chosen.ok_or_else(|| {
             let text = format!("no endpoint for {:?} admits the request", wanted.target);
             Refusal::new(Code::NoEndpoint, text).retry_after(RETRY_NO_ENDPOINT)
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -12,10 +12,14 @@
 use tonic::transport::Server;
 
 use crate::{
-    core::{ids::EntryId, routing::Site},
+    core::{
+        config::{Key, Scope},
+        ids::EntryId,
+        routing::Site,
+    },
     entry::{claims::ClaimService, peer::PeerRpc, shared::Shared},
     fleet::{ConfigStore, Follower, watch_vms},
-    http::{self, StopSignal, stop_channel},
+    http::{self, Stop, StopSignal, stop_channel},
     platform::{Log, VmList},
     rpc::{Channels, pb::peer_server::PeerServer},
 };
@@ -55,37 +59,19 @@
     let store = Arc::new(ConfigStore::default());
     let channels = Channels::default();
     let vms = watch_vms(vms, stop.clone());
-    let claims = ClaimService::new(
-        config.name.clone(),
-        log.clone(),
-        vms.clone(),
-        channels.clone(),
-    );
-    let follower = Follower::new(
-        log,
-        store.clone(),
-        vms.clone(),
-        channels.clone(),
-        Some(peer_address),
-    );
+    let claims = ClaimService::new(config.name.clone(), log.clone(), vms.clone(), channels.clone());
+    let follower =
+        Follower::new(log, store.clone(), vms.clone(), channels.clone(), Some(peer_address));
     info!("event=entry_start entry={} address={address}", config.name);
-    let shared = Arc::new(Shared::new(
-        config.name,
-        config.site,
-        store,
-        channels,
-        vms,
-        claims,
-    ));
+    let shared = Arc::new(Shared::new(config.name, config.site, store, channels, vms, claims));
     tokio::spawn(follower.run(stop.clone()));
+    tokio::spawn(shared.clone().configuration_loop(stop.clone()));
     let handler_shared = shared.clone();
     let handler = move |req| {
         let shared = handler_shared.clone();
         async move { Ok(shared.handle(req).await) }
     };
-    let rpc = PeerServer::new(PeerRpc {
-        shared: shared.clone(),
-    });
+    let rpc = PeerServer::new(PeerRpc { shared: shared.clone() });
     let mut stopped = stop.clone();
     let peer_server = Server::builder()
         .tcp_nodelay(true)
@@ -101,14 +87,23 @@
         }),
     ];
     let drain_notice = config.drain_notice;
-    Ok(EntryProcess {
-        shared,
-        stop: signal,
-        address,
-        peer_address,
-        drain_notice,
-        servers,
-    })
+    Ok(EntryProcess { shared, stop: signal, address, peer_address, drain_notice, servers })
+}
+
+impl<L: Log> Shared<L> {
+    /// Takes over what parts of the entry keep of the configuration.
+    async fn configuration_loop(self: Arc<Self>, mut stop: Stop) {
+        let mut view = self.store.subscribe();
+        loop {
+            let state = view.borrow_and_update().state.clone();
+            let crashes = state.value(Key::QuarantineCrashes, &Scope::default());
+            self.vetting.set_limit(crashes as u32);
+            tokio::select! {
+                changed = view.changed() => if changed.is_err() { return },
+                _ = stop.wait_for(|s| *s) => return,
+            }
+        }
+    }
 }
 
 impl<L: Log> EntryProcess<L> {
--- a/src/entry/shared.rs
+++ b/src/entry/shared.rs
@@ -16,7 +16,7 @@
         limits::{Limits, TenantLimits},
         routing::{Health, Site},
     },
-    entry::claims::ClaimService,
+    entry::{claims::ClaimService, vetting::Vetting},
     errors::Refusal,
     fleet::{ConfigStore, View, VmWatch},
     rpc::Channels,
@@ -30,6 +30,7 @@
     pub(super) channels: Channels,
     pub(super) vms: VmWatch,
     pub(super) claims: ClaimService<L>,
+    pub(super) vetting: Vetting,
     pub(super) draining: AtomicBool,
     requests: AtomicU64,
     /// Makes request ids differ between starts of one entry.
@@ -54,6 +55,7 @@
             channels,
             vms,
             claims,
+            vetting: Vetting::new(Key::QuarantineCrashes.default_value() as u32),
             draining: AtomicBool::new(false),
             requests: AtomicU64::new(0),
             start: fastrand::u64(..),
@@ -82,20 +84,14 @@
         view: &View,
         tenant: &TenantName,
     ) -> Result<TenantGuard<L>, Refusal> {
-        let scope = Scope {
-            tenant: Some(tenant),
-            ..Scope::default()
-        };
+        let scope = Scope { tenant: Some(tenant), ..Scope::default() };
         let limits = Limits {
             rate_per_s: view.state.value(Key::RatePerSecond, &scope),
             concurrency: view.state.value(Key::Concurrency, &scope),
             retry_percent: view.state.value(Key::RetryPercent, &scope),
         };
         self.limits().begin(Instant::now(), tenant, limits)?;
-        Ok(TenantGuard {
-            shared: self.clone(),
-            tenant: tenant.clone(),
-        })
+        Ok(TenantGuard { shared: self.clone(), tenant: tenant.clone() })
     }
 }
 
--- a/src/errors/refusal.rs
+++ b/src/errors/refusal.rs
@@ -36,12 +36,7 @@
 impl Refusal {
     /// A refusal with the outcome of its code.
     pub fn new(code: Code, message: impl Into<String>) -> Self {
-        Self {
-            code,
-            message: message.into(),
-            retry_after: None,
-            outcome: code.outcome(),
-        }
+        Self { code, message: message.into(), retry_after: None, outcome: code.outcome() }
     }
 
     /// Tells the caller when to come back.
--- a/src/fakes/engine.rs
+++ b/src/fakes/engine.rs
@@ -67,9 +67,7 @@
 impl WeightStore {
     /// A store that serves so many loads at once.
     pub fn new(at_once: usize) -> Self {
-        Self {
-            slots: Arc::new(Semaphore::new(at_once)),
-        }
+        Self { slots: Arc::new(Semaphore::new(at_once)) }
     }
 
     async fn fetch(&self, takes: Duration) {
@@ -166,12 +164,7 @@
             cache_lookups: 0,
             runs: HashMap::new(),
         };
-        Self {
-            inner: Arc::new(Mutex::new(inner)),
-            boots: watch::channel(1).0,
-            traits,
-            store,
-        }
+        Self { inner: Arc::new(Mutex::new(inner)), boots: watch::channel(1).0, traits, store }
     }
 
     /// Whether the engine ever held more than its memory.
@@ -200,6 +193,13 @@
         self.lock().running
     }
 
+    /// Whether a version of a model is loaded.
+    pub fn holds(&self, model: &str) -> bool {
+        let inner = self.lock();
+        let is = |r: &Resource| matches!(r, Resource::Model { name, .. } if **name == *model);
+        inner.held.keys().any(|r| is(r) && !inner.loading.contains(r))
+    }
+
     /// Prefix cache hits and lookups so far.
     pub fn cache(&self) -> (u64, u64) {
         let inner = self.lock();
@@ -239,15 +239,8 @@
             return Err(BackendError::NotSent("down".to_owned()));
         }
         let held = inner.held.iter().map(|(r, s)| (r.clone(), *s)).collect();
-        let state = EngineState {
-            held,
-            loading: inner.loading.clone(),
-            role: inner.role,
-        };
-        Ok(EngineReport {
-            state,
-            boot: inner.boot,
-        })
+        let state = EngineState { held, loading: inner.loading.clone(), role: inner.role };
+        Ok(EngineReport { state, boot: inner.boot })
     }
 
     pub(super) async fn order(
@@ -282,20 +275,12 @@
             return Err(BackendError::NotSent("down".to_owned()));
         }
         let loaded = |r: &Resource| matches!(r, Resource::Model { name, .. } if **name == *model);
-        let ready = inner
-            .held
-            .keys()
-            .any(|r| loaded(r) && !inner.loading.contains(r));
+        let ready = inner.held.keys().any(|r| loaded(r) && !inner.loading.contains(r));
         if !ready {
-            return Err(BackendError::Refused(format!(
-                "model {model:?} is not loaded"
-            )));
+            return Err(BackendError::Refused(format!("model {model:?} is not loaded")));
         }
         inner.running += 1;
-        *inner
-            .runs
-            .entry(hash::stable(&[prompt.as_bytes()]))
-            .or_default() += 1;
+        *inner.runs.entry(hash::stable(&[prompt.as_bytes()])).or_default() += 1;
         drop(inner);
         if prompt.contains(POISON) {
             let me = self.clone();
@@ -304,11 +289,7 @@
                 me.crash();
             });
         }
-        Ok(BatchSlot {
-            engine: self.clone(),
-            boots,
-            complete: false,
-        })
+        Ok(BatchSlot { engine: self.clone(), boots, complete: false })
     }
 
     /// Time to the first token of a prompt, by what the prefix cache holds.
@@ -326,11 +307,7 @@
         if CACHED_PREFIXES < inner.cache.len() {
             inner.cache.pop_front();
         }
-        let saved = if found.is_some() {
-            self.traits.cache_saves
-        } else {
-            0.0
-        };
+        let saved = if found.is_some() { self.traits.cache_saves } else { 0.0 };
         self.traits.first_token.mul_f64(1.0 - saved)
     }
 
--- a/src/fakes/engine_http.rs
+++ b/src/fakes/engine_http.rs
@@ -44,10 +44,7 @@
 impl Completion {
     fn whole_prompt(&self) -> String {
         let messages = self.messages.iter().map(|m| m.content.as_str());
-        std::iter::once(self.prompt.as_str())
-            .chain(messages)
-            .collect::<Vec<_>>()
-            .join("\n")
+        std::iter::once(self.prompt.as_str()).chain(messages).collect::<Vec<_>>().join("\n")
     }
 }
 
@@ -131,14 +128,10 @@
             }
             let text = Self::token(prompt, index);
             let event = json!({ "choices": [{ "index": 0, "text": text }] });
-            tx.send(Ok(Bytes::from(format!("data: {event}\n\n"))))
-                .await
-                .map_err(gone)?;
+            tx.send(Ok(Bytes::from(format!("data: {event}\n\n")))).await.map_err(gone)?;
         }
         slot.completed();
-        tx.send(Ok(Bytes::from_static(b"data: [DONE]\n\n")))
-            .await
-            .map_err(gone)
+        tx.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await.map_err(gone)
     }
 }
 
--- a/src/fakes/log.rs
+++ b/src/fakes/log.rs
@@ -89,10 +89,7 @@
             reads: 0,
             bytes_read: 0,
         };
-        Self {
-            inner: Arc::new(Mutex::new(inner)),
-            grown: Arc::new(Notify::new()),
-        }
+        Self { inner: Arc::new(Mutex::new(inner)), grown: Arc::new(Notify::new()) }
     }
 
     /// Changes the faults.
@@ -148,10 +145,7 @@
         match self.read(stream, parameter(query, "from"), wait).await {
             Ok(page) => http::json(StatusCode::OK, &read_reply(page)),
             Err(ReadError::Expired { first }) => {
-                let reply = ReadReply {
-                    first,
-                    ..ReadReply::default()
-                };
+                let reply = ReadReply { first, ..ReadReply::default() };
                 http::json(StatusCode::GONE, &reply)
             }
             Err(ReadError::Unavailable(text)) => http::text(StatusCode::SERVICE_UNAVAILABLE, text),
@@ -173,18 +167,11 @@
         let payloads = stream.records.iter().skip(skip).take(MAX_RECORDS_PER_READ);
         let records: Vec<LogRecord> = payloads
             .enumerate()
-            .map(|(i, p)| LogRecord {
-                offset: from + i as Offset,
-                payload: p.clone(),
-            })
+            .map(|(i, p)| LogRecord { offset: from + i as Offset, payload: p.clone() })
             .collect();
         let end = stream.end();
         inner.bytes_read += records.iter().map(|r| r.payload.len() as u64).sum::<u64>();
-        Ok(Page {
-            records,
-            first,
-            end,
-        })
+        Ok(Page { records, first, end })
     }
 }
 
@@ -237,10 +224,7 @@
 
 fn parameter(query: &str, name: &str) -> u64 {
     let pairs = query.split('&').filter_map(|p| p.split_once('='));
-    let found = pairs
-        .filter(|(n, _)| *n == name)
-        .map(|(_, v)| v.parse())
-        .next();
+    let found = pairs.filter(|(n, _)| *n == name).map(|(_, v)| v.parse()).next();
     found.and_then(Result::ok).unwrap_or(0)
 }
 
@@ -248,10 +232,5 @@
     let from = page.records.first().map_or(page.end, |r| r.offset);
     let text = |r: LogRecord| String::from_utf8_lossy(&r.payload).into_owned();
     let payloads = page.records.into_iter().map(text).collect();
-    ReadReply {
-        first: page.first,
-        end: page.end,
-        from,
-        payloads,
-    }
+    ReadReply { first: page.first, end: page.end, from, payloads }
 }
--- a/src/fakes/service.rs
+++ b/src/fakes/service.rs
@@ -35,10 +35,7 @@
 impl FakeService {
     /// A service whose calls take a time each.
     pub fn new(takes: Duration) -> Self {
-        Self {
-            runs: Arc::default(),
-            takes,
-        }
+        Self { runs: Arc::default(), takes }
     }
 
     /// Runs by id.
@@ -72,12 +69,6 @@
             *count
         };
         time::sleep(self.takes).await;
-        Ok(http::json(
-            StatusCode::OK,
-            &Confirmation {
-                confirmed: call.id,
-                run,
-            },
-        ))
+        Ok(http::json(StatusCode::OK, &Confirmation { confirmed: call.id, run }))
     }
 }
--- a/src/fleet/follower.rs
+++ b/src/fleet/follower.rs
@@ -15,7 +15,7 @@
         config::{Record, Snapshot, State, Verdict},
         ids::Offset,
     },
-    fleet::{ConfigStore, VmWatch},
+    fleet::{ConfigStore, VmWatch, operator::snapshot_of},
     http::Stop,
     platform::{Log, LogRecord, ReadError},
     rpc::{
@@ -53,13 +53,7 @@
         channels: Channels,
         own: Option<SocketAddr>,
     ) -> Self {
-        Self {
-            log,
-            store,
-            vms,
-            channels,
-            own,
-        }
+        Self { log, store, vms, channels, own }
     }
 
     /// Follows until the stop.
@@ -93,9 +87,7 @@
     }
 
     fn apply(&self, records: &[LogRecord]) {
-        let verdicts = self
-            .store
-            .apply(records.iter().map(|r| (r.offset, &r.payload[..])));
+        let verdicts = self.store.apply(records.iter().map(|r| (r.offset, &r.payload[..])));
         for (offset, verdict) in verdicts {
             match verdict {
                 Verdict::Accepted => info!("event=config_in_force revision={offset}"),
@@ -117,7 +109,7 @@
             };
             from = last.offset + 1;
             for record in &page.records {
-                if let Some(state) = snapshot(record) {
+                if let Some(state) = snapshot_of(record) {
                     newest = Some(state);
                 }
             }
@@ -152,9 +144,7 @@
 
     async fn ask(&self, peer: SocketAddr) {
         let mut client = PeerClient::new(self.channels.to(peer));
-        let request = CatchupRequest {
-            revision: self.store.revision(),
-        };
+        let request = CatchupRequest { revision: self.store.revision() };
         let Ok(Ok(reply)) = time::timeout(PEER_LIMIT, client.catchup(request)).await else {
             return;
         };
@@ -164,10 +154,7 @@
                 return;
             };
             if self.store.adopt(state) {
-                info!(
-                    "event=config_from_peer revision={} peer={peer}",
-                    reply.revision
-                );
+                info!("event=config_from_peer revision={} peer={peer}", reply.revision);
             }
         }
         self.store.confirm(Instant::now());
@@ -180,10 +167,7 @@
         if !due(&self.store) {
             return;
         }
-        time::sleep(Duration::from_millis(fastrand::u64(
-            ..MAX_SNAPSHOT_DELAY_MS,
-        )))
-        .await;
+        time::sleep(Duration::from_millis(fastrand::u64(..MAX_SNAPSHOT_DELAY_MS))).await;
         let from = self.store.revision() + 1;
         if let Ok(page) = self.log.read(CONFIG_STREAM, from, Duration::ZERO).await {
             self.apply(&page.records);
@@ -201,10 +185,3 @@
         info!("event=snapshot_appended ok={}", appended.is_ok());
     }
 }
-
-fn snapshot(record: &LogRecord) -> Option<State> {
-    match serde_json::from_slice(&record.payload) {
-        Ok(Record::Snapshot(snapshot)) => Some(snapshot.state),
-        _ => None,
-    }
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,6 @@
 mod vms;
 
 pub use follower::{CONFIG_STREAM, Follower};
-pub use operator::{ChangeError, submit};
+pub use operator::{ChangeError, read_all, read_records, submit};
 pub use store::{ConfigStore, View};
 pub use vms::{VmWatch, watch_vms};
--- a/src/fleet/operator.rs
+++ b/src/fleet/operator.rs
@@ -7,12 +7,12 @@
 
 use crate::{
     core::{
-        config::{Change, Fold, Record, Verdict},
+        config::{Change, Fold, Record, State, Verdict},
         ids::Offset,
     },
-    errors::{Code, Refusal},
+    errors::{Code, Outcome, Refusal},
     fleet::CONFIG_STREAM,
-    platform::{AppendError, Log, ReadError},
+    platform::{AppendError, Log, LogRecord, ReadError},
 };
 
 /// Why a change is not in force.
@@ -44,7 +44,7 @@
     match log.append(CONFIG_STREAM, payload.into()).await {
         Err(AppendError::Refused(text)) => {
             let refusal = Refusal::new(Code::LogUnavailable, text);
-            return Err(ChangeError(refusal.outcome(crate::errors::Outcome::NotRun)));
+            return Err(ChangeError(refusal.outcome(Outcome::NotRun)));
         }
         // A lost answer is settled by reading the log, never by appending again.
         Ok(_) | Err(AppendError::Uncertain(_)) => {}
@@ -52,9 +52,7 @@
     let deadline = Instant::now() + limit;
     while Instant::now() < deadline {
         let from = fold.state().revision + 1;
-        let read = log
-            .read(CONFIG_STREAM, from, Duration::from_millis(300))
-            .await;
+        let read = log.read(CONFIG_STREAM, from, Duration::from_millis(300)).await;
         let page = match read {
             Ok(page) => page,
             Err(ReadError::Expired { .. }) => break,
@@ -78,6 +76,57 @@
     Err(ChangeError(Refusal::new(Code::LogUnavailable, text)))
 }
 
+/// Reads all records of the configuration that the log keeps.
+///
+/// # Errors
+/// [`Code::LogUnavailable`].
+pub async fn read_records<L: Log>(log: &L) -> Result<Vec<LogRecord>, Refusal> {
+    let mut records: Vec<LogRecord> = Vec::new();
+    let mut from = 1;
+    loop {
+        match log.read(CONFIG_STREAM, from, Duration::ZERO).await {
+            Ok(page) if page.records.is_empty() => return Ok(records),
+            Ok(page) => {
+                records.extend(page.records);
+                from = records.last().map_or(from, |r| r.offset + 1);
+            }
+            Err(ReadError::Expired { first }) => from = first,
+            Err(err) => {
+                let refusal = Refusal::new(Code::LogUnavailable, err.to_string());
+                return Err(refusal.outcome(Outcome::NotRun));
+            }
+        }
+    }
+}
+
+/// Reads and folds the whole configuration, from the newest snapshot where records expired.
+///
+/// # Errors
+/// [`Code::LogUnavailable`].
+pub async fn read_all<L: Log>(log: &L) -> Result<Fold, Refusal> {
+    let records = read_records(log).await?;
+    let mut fold = Fold::default();
+    let first = records.first().map_or(1, |r| r.offset);
+    if first != 1 {
+        let newest = records.iter().rev().find_map(snapshot_of);
+        let covers = newest.filter(|state| first <= state.revision + 1);
+        let missing = || Refusal::new(Code::LogUnavailable, "the log has no usable snapshot");
+        fold.adopt(covers.ok_or_else(missing)?);
+    }
+    for record in &records {
+        fold.apply(record.offset, &record.payload);
+    }
+    Ok(fold)
+}
+
+/// The state of a snapshot record.
+pub(super) fn snapshot_of(record: &LogRecord) -> Option<State> {
+    match serde_json::from_slice(&record.payload) {
+        Ok(Record::Snapshot(snapshot)) => Some(snapshot.state),
+        _ => None,
+    }
+}
+
 fn is_own(payload: &[u8], id: &str) -> bool {
     matches!(serde_json::from_slice(payload), Ok(Record::Change(c)) if c.id == id)
 }
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -72,9 +72,7 @@
         records: impl Iterator<Item = (Offset, &'a [u8])>,
     ) -> Vec<(Offset, Verdict)> {
         let mut fold = lock(&self.fold);
-        let verdicts: Vec<_> = records
-            .map(|(at, bytes)| (at, fold.apply(at, bytes)))
-            .collect();
+        let verdicts: Vec<_> = records.map(|(at, bytes)| (at, fold.apply(at, bytes))).collect();
         self.publish(fold.state());
         verdicts
     }
--- a/src/fleet/vms.rs
+++ b/src/fleet/vms.rs
@@ -30,9 +30,7 @@
     /// Whether a VM is listed as leaving.
     pub fn is_leaving(&self, name: &str) -> bool {
         let list = self.list.borrow();
-        list.iter()
-            .flatten()
-            .any(|vm| &*vm.name == name && vm.state == VmState::Leaving)
+        list.iter().flatten().any(|vm| &*vm.name == name && vm.state == VmState::Leaving)
     }
 
     /// Whether a list was ever read.
--- a/src/http/body.rs
+++ b/src/http/body.rs
@@ -60,9 +60,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            Self::Parts(rx) => rx
-                .poll_recv(cx)
-                .map(|part| part.map(|r| r.map(Frame::data))),
+            Self::Parts(rx) => rx.poll_recv(cx).map(|part| part.map(|r| r.map(Frame::data))),
         }
     }
 
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -79,17 +79,12 @@
         let uri = format!("http://{}{path}", self.peer);
         let mut req = Request::new(Full::new(body));
         *req.method_mut() = method;
-        *req.uri_mut() = uri
-            .parse()
-            .map_err(|_| ClientError::NotSent(format!("path {path:?}")))?;
+        *req.uri_mut() = uri.parse().map_err(|_| ClientError::NotSent(format!("path {path:?}")))?;
         *req.headers_mut() = headers;
-        self.pool
-            .request(req)
-            .await
-            .map_err(|err| match err.is_connect() {
-                true => ClientError::NotSent(err.to_string()),
-                false => ClientError::NoAnswer(err.to_string()),
-            })
+        self.pool.request(req).await.map_err(|err| match err.is_connect() {
+            true => ClientError::NotSent(err.to_string()),
+            false => ClientError::NoAnswer(err.to_string()),
+        })
     }
 
     /// Sends a call and reads the whole answer.
@@ -107,17 +102,9 @@
         let whole = async {
             let reply = self.send(method, path, headers, body).await?;
             let status = reply.status();
-            let body = Limited::new(reply.into_body(), MAX_REPLY_BYTES)
-                .collect()
-                .await;
-            let body = body
-                .map_err(|err| ClientError::NoAnswer(err.to_string()))?
-                .to_bytes();
-            if status.is_success() {
-                Ok(body)
-            } else {
-                Err(ClientError::Status(status, body))
-            }
+            let body = Limited::new(reply.into_body(), MAX_REPLY_BYTES).collect().await;
+            let body = body.map_err(|err| ClientError::NoAnswer(err.to_string()))?.to_bytes();
+            if status.is_success() { Ok(body) } else { Err(ClientError::Status(status, body)) }
         };
         let timed = time::timeout(limit, whole).await;
         timed.map_err(|_| ClientError::NoAnswer(format!("none within {limit:?}")))?
@@ -132,9 +119,7 @@
         path: &str,
         limit: Duration,
     ) -> Result<T, ClientError> {
-        let body = self
-            .call(Method::GET, path, HeaderMap::new(), Bytes::new(), limit)
-            .await?;
+        let body = self.call(Method::GET, path, HeaderMap::new(), Bytes::new(), limit).await?;
         parse(&body)
     }
 
@@ -151,13 +136,8 @@
         let body = serde_json::to_vec(document);
         let body = body.map_err(|err| ClientError::Malformed(err.to_string()))?;
         let mut headers = HeaderMap::new();
-        headers.insert(
-            header::CONTENT_TYPE,
-            header::HeaderValue::from_static("application/json"),
-        );
-        let reply = self
-            .call(Method::POST, path, headers, body.into(), limit)
-            .await?;
+        headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+        let reply = self.call(Method::POST, path, headers, body.into(), limit).await?;
         parse(&reply)
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -51,14 +51,9 @@
 {
     let mut builder = Builder::new(TokioExecutor::new());
     let mut http1 = builder.http1();
-    http1
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_LIMIT);
+    http1.timer(TokioTimer::new()).header_read_timeout(HEADER_LIMIT);
     http1.max_buf_size(MAX_HEADER_BYTES);
-    builder
-        .http2()
-        .timer(TokioTimer::new())
-        .max_header_list_size(MAX_HEADER_BYTES as u32);
+    builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEADER_BYTES as u32);
     let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
@@ -72,10 +67,8 @@
         // Tokens are small and must not wait for a full segment.
         let _: io::Result<()> = socket.set_nodelay(true);
         let handler = handler.clone();
-        let service = service_fn(move |req| handler(req));
-        let connection = builder
-            .serve_connection(TokioIo::new(socket), service)
-            .into_owned();
+        let service = service_fn(handler);
+        let connection = builder.serve_connection(TokioIo::new(socket), service).into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
             // A caller that closes its connection is no fault of ours.
@@ -106,10 +99,7 @@
             let text = format!("the body is larger than {max_bytes} bytes");
             Err(Refusal::new(Code::BodyTooLarge, text))
         }
-        Err(err) => Err(Refusal::new(
-            Code::MalformedBody,
-            format!("the body broke off: {err}"),
-        )),
+        Err(err) => Err(Refusal::new(Code::MalformedBody, format!("the body broke off: {err}"))),
     }
 }
 
@@ -132,9 +122,7 @@
     if let Some(delay) = refusal.retry_after {
         // The header counts whole seconds; the body has the milliseconds.
         let seconds = delay.as_millis().div_ceil(1000).max(1) as u64;
-        reply
-            .headers_mut()
-            .insert(header::RETRY_AFTER, seconds.into());
+        reply.headers_mut().insert(header::RETRY_AFTER, seconds.into());
     }
     reply
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,8 +3,12 @@
 //! [`core`] holds the decisions and can be embedded by itself; the other
 //! modules put sockets, settings and timers round it.
 
+pub mod admin;
 pub mod agent;
+pub mod bench;
+pub mod cli;
 pub mod core;
+pub mod demo;
 pub mod entry;
 pub mod errors;
 pub mod fakes;
@@ -12,5 +16,6 @@
 pub mod http;
 pub mod platform;
 pub mod rpc;
+pub mod settings;
 pub mod telemetry;
 pub mod timers;
--- a/src/platform/http_backend.rs
+++ b/src/platform/http_backend.rs
@@ -38,9 +38,7 @@
 impl HttpBackend {
     /// A client of the backend at an address.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            client: Client::new(address),
-        }
+        Self { client: Client::new(address) }
     }
 }
 
@@ -120,57 +118,31 @@
     }
 
     async fn order(&self, number: Fencing, order: &Order) -> Result<OrderResult, BackendError> {
-        let order = NumberedOrder {
-            number,
-            order: order.clone(),
-        };
+        let order = NumberedOrder { number, order: order.clone() };
         Ok(self.client.post_json("/order", &order, ORDER_LIMIT).await?)
     }
 
     async fn complete(&self, path: &str, body: Bytes) -> Result<HttpTokens, BackendError> {
-        let reply = self
-            .client
-            .send(Method::POST, path, json_headers(), body)
-            .await?;
+        let reply = self.client.send(Method::POST, path, json_headers(), body).await?;
         if reply.status().is_success() {
-            return Ok(HttpTokens {
-                body: reply.into_body(),
-                parser: SseParser::default(),
-            });
+            return Ok(HttpTokens { body: reply.into_body(), parser: SseParser::default() });
         }
         Err(BackendError::Refused(format!("status {}", reply.status())))
     }
 
     async fn call(&self, path: &str, body: Bytes) -> Result<ServiceReply, BackendError> {
-        let reply = self
-            .client
-            .send(Method::POST, path, json_headers(), body)
-            .await?;
+        let reply = self.client.send(Method::POST, path, json_headers(), body).await?;
         let status = reply.status().as_u16();
         let content_type = reply.headers().get(header::CONTENT_TYPE);
-        let content_type = content_type
-            .and_then(|v| v.to_str().ok())
-            .unwrap_or("")
-            .to_owned();
-        let body = Limited::new(reply.into_body(), MAX_SERVICE_REPLY_BYTES)
-            .collect()
-            .await;
-        let body = body
-            .map_err(|err| BackendError::Broken(err.to_string()))?
-            .to_bytes();
-        Ok(ServiceReply {
-            status,
-            content_type,
-            body,
-        })
+        let content_type = content_type.and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
+        let body = Limited::new(reply.into_body(), MAX_SERVICE_REPLY_BYTES).collect().await;
+        let body = body.map_err(|err| BackendError::Broken(err.to_string()))?.to_bytes();
+        Ok(ServiceReply { status, content_type, body })
     }
 }
 
 fn json_headers() -> HeaderMap {
     let mut headers = HeaderMap::new();
-    headers.insert(
-        header::CONTENT_TYPE,
-        header::HeaderValue::from_static("application/json"),
-    );
+    headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
     headers
 }
--- a/src/platform/http_log.rs
+++ b/src/platform/http_log.rs
@@ -44,19 +44,15 @@
 impl HttpLog {
     /// A client of the log at an address.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            client: Client::new(address),
-        }
+        Self { client: Client::new(address) }
     }
 }
 
 impl Log for HttpLog {
     async fn append(&self, stream: &str, payload: Bytes) -> Result<Offset, AppendError> {
         let path = format!("/streams/{stream}");
-        let sent = self
-            .client
-            .call(Method::POST, &path, HeaderMap::new(), payload, APPEND_LIMIT)
-            .await;
+        let sent =
+            self.client.call(Method::POST, &path, HeaderMap::new(), payload, APPEND_LIMIT).await;
         let body = sent.map_err(|err| match err {
             ClientError::NotSent(_) => AppendError::Refused(err.to_string()),
             ClientError::Status(status, _) if status.is_client_error() => {
@@ -65,9 +61,7 @@
             _ => AppendError::Uncertain(err.to_string()),
         })?;
         let reply: Result<AppendReply, _> = serde_json::from_slice(&body);
-        reply
-            .map(|r| r.offset)
-            .map_err(|err| AppendError::Uncertain(err.to_string()))
+        reply.map(|r| r.offset).map_err(|err| AppendError::Uncertain(err.to_string()))
     }
 
     async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Page, ReadError> {
@@ -82,11 +76,7 @@
             payload: payload.into(),
         };
         let records = reply.payloads.into_iter().enumerate().map(record).collect();
-        Ok(Page {
-            records,
-            first: reply.first,
-            end: reply.end,
-        })
+        Ok(Page { records, first: reply.first, end: reply.end })
     }
 }
 
--- a/src/platform/http_vm_list.rs
+++ b/src/platform/http_vm_list.rs
@@ -18,9 +18,7 @@
 impl HttpVmList {
     /// A client of the list at an address.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            client: Client::new(address),
-        }
+        Self { client: Client::new(address) }
     }
 }
 
--- a/src/rpc/channels.rs
+++ b/src/rpc/channels.rs
@@ -23,9 +23,7 @@
     /// The connection to an address.
     pub fn to(&self, address: SocketAddr) -> Channel {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        open.entry(address)
-            .or_insert_with(|| connect(address))
-            .clone()
+        open.entry(address).or_insert_with(|| connect(address)).clone()
     }
 
     /// Forgets connections to addresses that are no longer used.
--- a/src/rpc/wire.rs
+++ b/src/rpc/wire.rs
@@ -42,14 +42,8 @@
             FenceState::Ran(answer) => (State::Ran, answer),
             FenceState::Unknown => (State::Unknown, None),
         };
-        let answer = answer
-            .and_then(|a| serde_json::to_vec(&a).ok())
-            .unwrap_or_default();
-        Self {
-            state: state.into(),
-            incarnation: 0,
-            answer: answer.into(),
-        }
+        let answer = answer.and_then(|a| serde_json::to_vec(&a).ok()).unwrap_or_default();
+        Self { state: state.into(), incarnation: 0, answer: answer.into() }
     }
 }
 
--- /dev/null
+++ b/src/settings/reader.rs
@@ -0,0 +1,173 @@
+//! Reads typed values out of an INI file and collects every fault.
+
+use std::{collections::BTreeSet, fmt, net::SocketAddr, str::FromStr, time::Duration};
+
+use ini::Ini;
+
+use crate::errors::Code;
+
+/// One fault of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The numbered kind.
+    pub code: Code,
+    /// The file.
+    pub file: String,
+    /// The section.
+    pub section: String,
+    /// The key; empty when the fault is not of one key.
+    pub key: String,
+    /// What is wrong.
+    pub message: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: [{}] {}: {}: {}", self.file, self.section, self.key, self.code, self.message)
+    }
+}
+
+/// Reads one file.
+///
+/// ```
+/// use goldcrestpitch::settings::Reader;
+/// let mut reader = Reader::from_text("a.ini", "[entry]\nlisten = here\nspeed = 9\n");
+/// assert_eq!(reader.address("entry", "listen"), None);
+/// let faults = reader.finish();
+/// assert_eq!(faults.len(), 2);
+/// assert!(faults[0].to_string().starts_with("a.ini: [entry] listen: 6004 NotAnAddress"));
+/// ```
+#[derive(Debug)]
+pub struct Reader {
+    file: String,
+    ini: Ini,
+    asked: BTreeSet<(String, String)>,
+    faults: Vec<Fault>,
+}
+
+impl Reader {
+    /// Reads a file.
+    pub fn from_file(file: &str) -> Self {
+        match std::fs::read_to_string(file) {
+            Ok(text) => Self::from_text(file, &text),
+            Err(err) => {
+                let mut me = Self::from_text(file, "");
+                me.fault(Code::UnreadableSettings, "", "", err.to_string());
+                me
+            }
+        }
+    }
+
+    /// Reads a text; `file` is named in faults.
+    pub fn from_text(file: &str, text: &str) -> Self {
+        let (ini, error) = match Ini::load_from_str(text) {
+            Ok(ini) => (ini, None),
+            Err(err) => (Ini::new(), Some(err.to_string())),
+        };
+        let mut me =
+            Self { file: file.to_owned(), ini, asked: BTreeSet::new(), faults: Vec::new() };
+        if let Some(text) = error {
+            me.fault(Code::UnreadableSettings, "", "", text);
+        }
+        me
+    }
+
+    /// A required text.
+    pub fn text(&mut self, section: &str, key: &str) -> Option<String> {
+        let found = self.find(section, key).filter(|t| !t.is_empty());
+        if found.is_none() {
+            self.fault(Code::MissingSetting, section, key, "a value is required".to_owned());
+        }
+        found
+    }
+
+    /// A required IP address with a port.
+    pub fn address(&mut self, section: &str, key: &str) -> Option<SocketAddr> {
+        let text = self.text(section, key)?;
+        let address = text.parse().ok();
+        if address.is_none() {
+            let message = format!("{text:?} is not an IP address with a port");
+            self.fault(Code::NotAnAddress, section, key, message);
+        }
+        address
+    }
+
+    /// A duration in milliseconds with a default, from 0 to `max`.
+    pub fn millis(
+        &mut self,
+        section: &str,
+        key: &str,
+        default: Duration,
+        max: Duration,
+    ) -> Duration {
+        let Some(text) = self.find(section, key) else {
+            return default;
+        };
+        match text.parse::<u64>().map(Duration::from_millis) {
+            Ok(value) if value <= max => value,
+            _ => {
+                let most = max.as_millis();
+                let message = format!("{text:?} is not a number of milliseconds up to {most}");
+                self.fault(Code::BadSetting, section, key, message);
+                default
+            }
+        }
+    }
+
+    /// A value of its own type, or its default.
+    pub fn parsed<T: FromStr<Err = String> + Default>(&mut self, section: &str, key: &str) -> T {
+        let Some(text) = self.find(section, key) else {
+            return T::default();
+        };
+        match text.parse() {
+            Ok(value) => value,
+            Err(message) => {
+                self.fault(Code::BadSetting, section, key, message);
+                T::default()
+            }
+        }
+    }
+
+    /// Notes that two settings must not be the same address.
+    pub fn distinct(&mut self, section: &str, keys: &[(&str, Option<SocketAddr>)]) {
+        for (i, (key, address)) in keys.iter().enumerate() {
+            let twin = keys[..i].iter().find(|(_, other)| address.is_some() && other == address);
+            if let Some((other, _)) = twin {
+                let message = format!("the same address as {other:?}");
+                self.fault(Code::Contradiction, section, key, message);
+            }
+        }
+    }
+
+    /// Every fault, unknown sections and keys included.
+    pub fn finish(mut self) -> Vec<Fault> {
+        let mut unknown = Vec::new();
+        for (section, properties) in &self.ini {
+            let section = section.unwrap_or_default();
+            for (key, _) in properties.iter() {
+                if !self.asked.contains(&(section.to_owned(), key.to_owned())) {
+                    unknown.push((section.to_owned(), key.to_owned()));
+                }
+            }
+        }
+        for (section, key) in unknown {
+            self.fault(Code::UnknownSetting, &section, &key, "there is no such key".to_owned());
+        }
+        self.faults
+    }
+
+    fn find(&mut self, section: &str, key: &str) -> Option<String> {
+        self.asked.insert((section.to_owned(), key.to_owned()));
+        self.ini.get_from(Some(section), key).map(|t| t.trim().to_owned())
+    }
+
+    fn fault(&mut self, code: Code, section: &str, key: &str, message: String) {
+        self.faults.push(Fault {
+            code,
+            file: self.file.clone(),
+            section: section.to_owned(),
+            key: key.to_owned(),
+            message,
+        });
+    }
+}
--- a/src/telemetry/logs.rs
+++ b/src/telemetry/logs.rs
@@ -19,10 +19,7 @@
 
 impl Default for LogLevels {
     fn default() -> Self {
-        Self {
-            default: LevelFilter::Info,
-            modules: Vec::new(),
-        }
+        Self { default: LevelFilter::Info, modules: Vec::new() }
     }
 }
 
@@ -31,11 +28,7 @@
 
     fn from_str(text: &str) -> Result<Self, String> {
         let mut levels = Self::default();
-        let level = |t: &str| {
-            t.trim()
-                .parse()
-                .map_err(|_| format!("{t:?} is not a log level"))
-        };
+        let level = |t: &str| t.trim().parse().map_err(|_| format!("{t:?} is not a log level"));
         for part in text.split(',').map(str::trim) {
             match part.split_once('=') {
                 Some((module, l)) => levels.modules.push((module.trim().to_owned(), level(l)?)),
@@ -49,9 +42,7 @@
 impl fmt::Display for LogLevels {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.default)?;
-        self.modules
-            .iter()
-            .try_for_each(|(module, level)| write!(f, ", {module}={level}"))
+        self.modules.iter().try_for_each(|(module, level)| write!(f, ", {module}={level}"))
     }
 }
 
--- a/src/telemetry/recorder.rs
+++ b/src/telemetry/recorder.rs
@@ -7,9 +7,8 @@
 
 use crate::telemetry::names;
 
-const SECONDS: &[f64] = &[
-    0.001, 0.0025, 0.005, 0.01, 0.02, 0.027, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 5.0, 10.0, 30.0,
-];
+const SECONDS: &[f64] =
+    &[0.001, 0.0025, 0.005, 0.01, 0.02, 0.027, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 5.0, 10.0, 30.0];
 // Kernel ticks a second in /proc, fixed on Linux.
 const TICKS_PER_SECOND: f64 = 100.0;
 
@@ -42,11 +41,7 @@
     let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
     // The name in parentheses may hold blanks; user and system time follow as fields 14 and 15.
     let fields = stat.rsplit(')').next().unwrap_or_default();
-    let ticks: f64 = fields
-        .split_whitespace()
-        .skip(11)
-        .take(2)
-        .filter_map(|t| t.parse::<f64>().ok())
-        .sum();
+    let ticks: f64 =
+        fields.split_whitespace().skip(11).take(2).filter_map(|t| t.parse::<f64>().ok()).sum();
     Duration::from_secs_f64(ticks / TICKS_PER_SECOND)
 }
--- a/tests/at_most_once/history.rs
+++ b/tests/at_most_once/history.rs
@@ -40,11 +40,7 @@
         return true;
     }
     let actions = events.iter().map(|(process, call, is_call)| {
-        let action = if *is_call {
-            Action::Call(*call)
-        } else {
-            Action::Response(*call)
-        };
+        let action = if *is_call { Action::Call(*call) } else { Action::Response(*call) };
         (*process, action)
     });
     WGLChecker::<RunsOnce>::is_linearizable(History::from_actions(actions.collect()))
--- a/tests/at_most_once/main.rs
+++ b/tests/at_most_once/main.rs
@@ -13,49 +13,13 @@
 fn scenarios() -> Vec<(&'static str, Faults)> {
     vec![
         ("no fault", NONE),
-        (
-            "entry dies",
-            Faults {
-                entry_dies: 25,
-                ..NONE
-            },
-        ),
-        (
-            "agent dies",
-            Faults {
-                agent_dies: 25,
-                ..NONE
-            },
-        ),
-        (
-            "log down at times",
-            Faults {
-                log_down: 25,
-                ..NONE
-            },
-        ),
-        (
-            "append answers lost",
-            Faults {
-                append_lost: 30,
-                ..NONE
-            },
-        ),
-        (
-            "messages lost or late",
-            Faults {
-                message_lost: 15,
-                ..NONE
-            },
-        ),
+        ("entry dies", Faults { entry_dies: 25, ..NONE }),
+        ("agent dies", Faults { agent_dies: 25, ..NONE }),
+        ("log down at times", Faults { log_down: 25, ..NONE }),
+        ("append answers lost", Faults { append_lost: 30, ..NONE }),
+        ("messages lost or late", Faults { message_lost: 15, ..NONE }),
         ("holders paused", Faults { paused: 10, ..NONE }),
-        (
-            "service breaks",
-            Faults {
-                service_breaks: 10,
-                ..NONE
-            },
-        ),
+        ("service breaks", Faults { service_breaks: 10, ..NONE }),
         (
             "all together",
             Faults {
@@ -87,11 +51,7 @@
     for (name, faults) in scenarios() {
         let tally = run(faults, Planted::Nothing, 0..SEEDS);
         assert_eq!(tally.violations, Vec::<String>::new(), "{name}");
-        assert!(
-            SEEDS < tally.answered,
-            "{name}: {} answered",
-            tally.answered
-        );
+        assert!(SEEDS < tally.answered, "{name}: {} answered", tally.answered);
         println!(
             "{name:24} {:5.1}% {:6} {:5} {:5}",
             tally.answered as f64 * 100.0 / tally.calls as f64,
@@ -105,11 +65,7 @@
 #[test]
 fn judges_catch_planted_faults() {
     let all = scenarios().pop().map(|(_, faults)| faults).unwrap_or(NONE);
-    for planted in [
-        Planted::FenceForgets,
-        Planted::EveryClaimWins,
-        Planted::NoTicketCheck,
-    ] {
+    for planted in [Planted::FenceForgets, Planted::EveryClaimWins, Planted::NoTicketCheck] {
         let tally = run(all, planted, 0..SEEDS);
         assert!(!tally.violations.is_empty(), "{planted:?} was not noticed");
     }
--- a/tests/at_most_once/world.rs
+++ b/tests/at_most_once/world.rs
@@ -63,28 +63,11 @@
 #[derive(Debug)]
 enum Step {
     Start(usize),
-    Deliver {
-        call: usize,
-        event: Event,
-    },
-    Append {
-        record: ClaimRecord,
-        call: Option<usize>,
-    },
-    RunArrives {
-        call: usize,
-        claim: Claim,
-    },
-    ServiceEnds {
-        call: usize,
-        claim: Claim,
-        run: u64,
-        breaks: bool,
-    },
-    FenceArrives {
-        call: usize,
-        claim: Claim,
-    },
+    Deliver { call: usize, event: Event },
+    Append { record: ClaimRecord, call: Option<usize> },
+    RunArrives { call: usize, claim: Claim },
+    ServiceEnds { call: usize, claim: Claim, run: u64, breaks: bool },
+    FenceArrives { call: usize, claim: Claim },
     EntryDies(usize),
     AgentDies(usize),
     LogDown(bool),
@@ -147,8 +130,7 @@
         self.answered += count(|c| matches!(c, Call::Ran(_)));
         self.unknown += count(|c| matches!(c, Call::Unknown));
         self.not_run += count(|c| matches!(c, Call::NotRun));
-        self.violations
-            .extend(end.violations.iter().map(|v| format!("seed {seed}: {v}")));
+        self.violations.extend(end.violations.iter().map(|v| format!("seed {seed}: {v}")));
     }
 }
 
@@ -187,11 +169,7 @@
             runs: BTreeMap::new(),
         };
         for i in 0..2 {
-            me.agents.push(Agent {
-                incarnation: i + 1,
-                started_ms: 0,
-                memory: memory(),
-            });
+            me.agents.push(Agent { incarnation: i + 1, started_ms: 0, memory: memory() });
         }
         me.plan_calls();
         me.plan_faults();
@@ -220,11 +198,7 @@
 
     fn plan_faults(&mut self) {
         for _ in 0..4 {
-            let at = if self.rng.bool() {
-                self.rng.u64(1..200)
-            } else {
-                self.rng.u64(1..20_000)
-            };
+            let at = if self.rng.bool() { self.rng.u64(1..200) } else { self.rng.u64(1..20_000) };
             if self.strikes(self.faults.entry_dies) {
                 let entry = self.rng.usize(..3);
                 self.at(at, Step::EntryDies(entry));
@@ -251,8 +225,7 @@
 
     fn at(&mut self, delay: u64, step: Step) {
         self.sequence += 1;
-        self.steps
-            .push(Timed(self.now_ms + delay, self.sequence, step));
+        self.steps.push(Timed(self.now_ms + delay, self.sequence, step));
     }
 
     pub fn run(mut self) -> End {
@@ -264,10 +237,7 @@
             self.step(step);
         }
         let violations = self.judge();
-        End {
-            calls: self.callers.iter().map(|c| c.result).collect(),
-            violations,
-        }
+        End { calls: self.callers.iter().map(|c| c.result).collect(), violations }
     }
 
     fn step(&mut self, step: Step) {
@@ -276,12 +246,7 @@
             Step::Deliver { call, event } => self.deliver(call, event),
             Step::Append { record, call } => self.append(record, call),
             Step::RunArrives { call, claim } => self.run_arrives(call, claim),
-            Step::ServiceEnds {
-                call,
-                claim,
-                run,
-                breaks,
-            } => {
+            Step::ServiceEnds { call, claim, run, breaks } => {
                 self.service_ends(call, claim, run, breaks);
             }
             Step::FenceArrives { call, claim } => self.fence_arrives(call, claim),
@@ -289,11 +254,7 @@
             Step::AgentDies(agent) => {
                 let incarnation = self.agents.iter().map(|a| a.incarnation).max().unwrap_or(0) + 1;
                 let started_ms = self.now_ms;
-                self.agents[agent] = Agent {
-                    incarnation,
-                    started_ms,
-                    memory: memory(),
-                };
+                self.agents[agent] = Agent { incarnation, started_ms, memory: memory() };
             }
             Step::LogDown(down) => self.log_down = down,
         }
@@ -310,10 +271,7 @@
             max_attempts: 3,
         };
         let key = caller.key;
-        self.history
-            .entry(key)
-            .or_default()
-            .push((call, Call::Pending, true));
+        self.history.entry(key).or_default().push((call, Call::Pending, true));
         let (dispatch, action) = Dispatch::new(request);
         self.callers[call].dispatch = Some(dispatch);
         self.act(call, action);
@@ -331,35 +289,19 @@
 
     /// Reports an event to a call, late when its entry is paused.
     fn report(&mut self, call: usize, delay: u64, event: Event) {
-        let pause = if self.strikes(self.faults.paused) {
-            self.rng.u64(1000..30_000)
-        } else {
-            0
-        };
+        let pause = if self.strikes(self.faults.paused) { self.rng.u64(1000..30_000) } else { 0 };
         self.at(delay + pause, Step::Deliver { call, event });
     }
 
     fn act(&mut self, call: usize, action: Action) {
         // A paused entry also acts late on what it has decided.
-        let pause = if self.strikes(self.faults.paused) {
-            self.rng.u64(500..20_000)
-        } else {
-            0
-        };
+        let pause = if self.strikes(self.faults.paused) { self.rng.u64(500..20_000) } else { 0 };
         let hop = self.rng.u64(1..20) + pause;
         match action {
             Action::Choose { exclude } => self.choose(call, &exclude),
             Action::Claim(claim) => {
-                self.callers[call]
-                    .attempts
-                    .insert(claim.attempt.to_string());
-                self.at(
-                    hop,
-                    Step::Append {
-                        record: ClaimRecord::Claim(claim),
-                        call: Some(call),
-                    },
-                );
+                self.callers[call].attempts.insert(claim.attempt.to_string());
+                self.at(hop, Step::Append { record: ClaimRecord::Claim(claim), call: Some(call) });
             }
             Action::Run(claim) => self.send_run(call, claim, hop),
             Action::Fence(claim) => {
@@ -492,21 +434,10 @@
         }
         let key = self.callers[call].key;
         let run = self.sequence;
-        self.runs
-            .entry(key)
-            .or_default()
-            .push((claim.attempt.to_string(), run));
+        self.runs.entry(key).or_default().push((claim.attempt.to_string(), run));
         let breaks = self.strikes(self.faults.service_breaks);
         let delay = self.rng.u64(1..1500);
-        self.at(
-            delay,
-            Step::ServiceEnds {
-                call,
-                claim,
-                run,
-                breaks,
-            },
-        );
+        self.at(delay, Step::ServiceEnds { call, claim, run, breaks });
     }
 
     fn service_ends(&mut self, call: usize, claim: Claim, run: u64, breaks: bool) {
@@ -519,15 +450,10 @@
             return self.report(call, hop, Event::Broken(claim.attempt));
         }
         let answer = Answer::kept(200, "text/plain", run.to_string().as_bytes());
-        agent
-            .memory
-            .ran(&claim.attempt, (!breaks).then(|| answer.clone()));
+        agent.memory.ran(&claim.attempt, (!breaks).then(|| answer.clone()));
         let attempt = claim.attempt;
-        let event = if breaks || lost {
-            Event::Broken(attempt)
-        } else {
-            Event::Answered(attempt, answer)
-        };
+        let event =
+            if breaks || lost { Event::Broken(attempt) } else { Event::Answered(attempt, answer) };
         self.report(call, hop, event);
     }
 
@@ -580,10 +506,7 @@
     fn respond(&mut self, call: usize, result: Call) {
         let caller = &mut self.callers[call];
         caller.result = result;
-        self.history
-            .entry(caller.key)
-            .or_default()
-            .push((call, result, false));
+        self.history.entry(caller.key).or_default().push((call, result, false));
     }
 
     fn judge(&self) -> Vec<String> {
@@ -595,9 +518,7 @@
         }
         for (call, caller) in self.callers.iter().enumerate() {
             let ran = self.runs.get(&caller.key).into_iter().flatten();
-            let own = ran
-                .filter(|(attempt, _)| caller.attempts.contains(attempt))
-                .count();
+            let own = ran.filter(|(attempt, _)| caller.attempts.contains(attempt)).count();
             if caller.result == Call::NotRun && own != 0 {
                 out.push(format!("call {call} was told not_run but ran"));
             }
@@ -606,13 +527,10 @@
             }
         }
         for (key, events) in &self.history {
-            let complete = events
-                .iter()
-                .all(|(call, _, _)| self.callers[*call].result != Call::Pending);
+            let complete =
+                events.iter().all(|(call, _, _)| self.callers[*call].result != Call::Pending);
             if complete && !history::is_linearizable(events) {
-                out.push(format!(
-                    "key {key}: the history is not linearizable: {events:?}"
-                ));
+                out.push(format!("key {key}: the history is not linearizable: {events:?}"));
             }
         }
         out
--- a/tests/config_fold.rs
+++ b/tests/config_fold.rs
@@ -9,48 +9,26 @@
 use proptest::prelude::*;
 
 fn change(base: u64, action: Action) -> Vec<u8> {
-    let change = Change {
-        id: "c".into(),
-        operator: "op".into(),
-        base,
-        action,
-    };
+    let change = Change { id: "c".into(), operator: "op".into(), base, action };
     serde_json::to_vec(&Record::Change(change)).unwrap()
 }
 
 fn set(key: &str, value: u64) -> Action {
-    Action::Set {
-        key: key.into(),
-        value,
-    }
+    Action::Set { key: key.into(), value }
 }
 
 fn except(selector: &str, key: &str, value: u64, reason: &str) -> Action {
     let selector = selector.parse().unwrap();
-    Action::Except {
-        selector,
-        key: key.into(),
-        value,
-        reason: reason.into(),
-    }
+    Action::Except { selector, key: key.into(), value, reason: reason.into() }
 }
 
 fn declare(name: &str, item: Item) -> Action {
-    Action::Declare {
-        name: name.into(),
-        item,
-    }
+    Action::Declare { name: name.into(), item }
 }
 
 fn engine(memory_mib: u64) -> Item {
     let agent = "127.0.0.1:1".parse().unwrap();
-    Item::Endpoint {
-        agent,
-        region: "r".into(),
-        zone: "z".into(),
-        memory_mib,
-        service: None,
-    }
+    Item::Endpoint { agent, region: "r".into(), zone: "z".into(), memory_mib, service: None }
 }
 
 fn code(verdict: Verdict) -> Option<Code> {
@@ -63,14 +41,8 @@
 #[test]
 fn of_two_racing_changes_exactly_one_wins() {
     let mut fold = Fold::default();
-    assert_eq!(
-        fold.apply(1, &change(0, set("tenant.weight", 5))),
-        Verdict::Accepted
-    );
-    assert_eq!(
-        fold.apply(2, &change(1, set("tenant.weight", 6))),
-        Verdict::Accepted
-    );
+    assert_eq!(fold.apply(1, &change(0, set("tenant.weight", 5))), Verdict::Accepted);
+    assert_eq!(fold.apply(2, &change(1, set("tenant.weight", 6))), Verdict::Accepted);
     let second = fold.apply(3, &change(1, set("tenant.weight", 7)));
     assert_eq!(code(second), Some(Code::StaleBase));
     assert_eq!(fold.state().value(Key::Weight, &Scope::default()), 6);
@@ -93,29 +65,14 @@
     assert_eq!(verdict(absent), Some(Code::BadSelector));
     let wrong_kind = except("class=t", "tenant.weight", 1, "because");
     assert_eq!(verdict(wrong_kind), Some(Code::BadSelector));
-    let drop = Action::Drop {
-        selector: "tenant=t".parse().unwrap(),
-        key: "tenant.weight".into(),
-    };
+    let drop = Action::Drop { selector: "tenant=t".parse().unwrap(), key: "tenant.weight".into() };
     assert_eq!(verdict(drop), Some(Code::NothingToDrop));
-    let retire = Action::Retire {
-        kind: ItemKind::Model,
-        name: "m".into(),
-    };
+    let retire = Action::Retire { kind: ItemKind::Model, name: "m".into() };
     assert_eq!(verdict(retire), Some(Code::NothingToDrop));
-    assert_eq!(
-        verdict(declare("a b", Item::Tenant {})),
-        Some(Code::BadValue)
-    );
-    let orphan = Item::Adapter {
-        model: "m".into(),
-        memory_mib: 1,
-    };
+    assert_eq!(verdict(declare("a b", Item::Tenant {})), Some(Code::BadValue));
+    let orphan = Item::Adapter { model: "m".into(), memory_mib: 1 };
     assert_eq!(verdict(declare("a", orphan)), Some(Code::BadSelector));
-    assert_eq!(
-        code(fold.apply(99, b"{\"record\":\"new\"}")),
-        Some(Code::UnreadableRecord)
-    );
+    assert_eq!(code(fold.apply(99, b"{\"record\":\"new\"}")), Some(Code::UnreadableRecord));
     let extra = br#"{"record":"change","id":"1","operator":"o","base":0,"later":1,
         "action":{"do":"set","key":"tenant.weight","value":7}}"#;
     assert_eq!(code(fold.apply(100, extra)), Some(Code::UnreadableRecord));
@@ -124,78 +81,39 @@
 #[test]
 fn replicas_without_room_are_rejected_as_a_whole() {
     let mut fold = Fold::default();
-    let model = Item::Model {
-        memory_mib: 50,
-        version: 1,
-    };
-    assert_eq!(
-        fold.apply(1, &change(0, declare("m", model))),
-        Verdict::Accepted
-    );
-    assert_eq!(
-        fold.apply(2, &change(0, declare("e1", engine(100)))),
-        Verdict::Accepted
-    );
+    let model = Item::Model { memory_mib: 50, version: 1 };
+    assert_eq!(fold.apply(1, &change(0, declare("m", model))), Verdict::Accepted);
+    assert_eq!(fold.apply(2, &change(0, declare("e1", engine(100)))), Verdict::Accepted);
     let two = except("model=m", "model.min_replicas", 2, "festival");
-    assert_eq!(
-        code(fold.apply(3, &change(0, two.clone()))),
-        Some(Code::DoesNotFit)
-    );
-    assert_eq!(
-        fold.apply(4, &change(0, declare("e2", engine(100)))),
-        Verdict::Accepted
-    );
+    assert_eq!(code(fold.apply(3, &change(0, two.clone()))), Some(Code::DoesNotFit));
+    assert_eq!(fold.apply(4, &change(0, declare("e2", engine(100)))), Verdict::Accepted);
     assert_eq!(fold.apply(5, &change(0, two)), Verdict::Accepted);
-    let retire = Action::Retire {
-        kind: ItemKind::Endpoint,
-        name: "e2".into(),
-    };
-    assert_eq!(
-        code(fold.apply(6, &change(4, retire))),
-        Some(Code::DoesNotFit)
-    );
+    let retire = Action::Retire { kind: ItemKind::Endpoint, name: "e2".into() };
+    assert_eq!(code(fold.apply(6, &change(4, retire))), Some(Code::DoesNotFit));
 }
 
 #[test]
 fn exception_goes_with_its_item() {
     let mut fold = Fold::default();
     fold.apply(1, &change(0, declare("t", Item::Tenant {})));
-    fold.apply(
-        2,
-        &change(0, except("tenant=t", "tenant.weight", 9, "trial")),
-    );
-    let scope = Scope {
-        tenant: Some("t"),
-        ..Scope::default()
-    };
+    fold.apply(2, &change(0, except("tenant=t", "tenant.weight", 9, "trial")));
+    let scope = Scope { tenant: Some("t"), ..Scope::default() };
     assert_eq!(fold.state().value(Key::Weight, &scope), 9);
-    let retire = Action::Retire {
-        kind: ItemKind::Tenant,
-        name: "t".into(),
-    };
+    let retire = Action::Retire { kind: ItemKind::Tenant, name: "t".into() };
     assert_eq!(fold.apply(3, &change(1, retire)), Verdict::Accepted);
     fold.apply(4, &change(3, declare("t", Item::Tenant {})));
     assert_eq!(fold.state().value(Key::Weight, &scope), 100);
 }
 
 fn any_action() -> impl Strategy<Value = Action> {
-    let selector = Selector {
-        kind: ItemKind::Tenant,
-        name: "t".into(),
-    };
-    let drop = Action::Drop {
-        selector,
-        key: "tenant.weight".into(),
-    };
+    let selector = Selector { kind: ItemKind::Tenant, name: "t".into() };
+    let drop = Action::Drop { selector, key: "tenant.weight".into() };
     prop_oneof![
         (0u64..12).prop_map(|v| set("class.priority", v)),
         (0u64..12).prop_map(|v| except("tenant=t", "tenant.weight", v, "why")),
         Just(drop),
         Just(declare("t", Item::Tenant {})),
-        Just(Action::Retire {
-            kind: ItemKind::Tenant,
-            name: "t".into()
-        }),
+        Just(Action::Retire { kind: ItemKind::Tenant, name: "t".into() }),
     ]
 }
 
--- a/tests/engine_memory.rs
+++ b/tests/engine_memory.rs
@@ -102,8 +102,7 @@
 
     fn at(&mut self, delay: u64, arrival: Arrival) {
         self.sequence += 1;
-        self.events
-            .push(Timed(self.now_ms + delay, self.sequence, arrival));
+        self.events.push(Timed(self.now_ms + delay, self.sequence, arrival));
     }
 
     fn drive(&mut self) {
@@ -158,12 +157,7 @@
         }
         self.engine.seen = self.engine.seen.max(number);
         if self.rng.u8(..20) == 0 {
-            return self.answer(
-                number,
-                OrderResult::Failed {
-                    message: "injected".into(),
-                },
-            );
+            return self.answer(number, OrderResult::Failed { message: "injected".into() });
         }
         match order {
             Order::Barrier => {}
@@ -194,11 +188,7 @@
     }
 
     fn load_ends(&mut self, resource: &Resource, first: Fencing) {
-        let ours = self
-            .engine
-            .loading
-            .get(resource)
-            .is_some_and(|w| w[0] == first);
+        let ours = self.engine.loading.get(resource).is_some_and(|w| w[0] == first);
         if !ours {
             return;
         }
@@ -281,17 +271,9 @@
             self.now_ms = until;
             let resident =
                 |s: &goldcrestpitch::core::memory::Slot| s.residency == Residency::Resident;
-            loads += self
-                .controller
-                .ledger()
-                .slots()
-                .filter(|(_, s)| resident(s))
-                .count();
-        }
-        Outcome {
-            peak: self.engine.peak,
-            loads,
+            loads += self.controller.ledger().slots().filter(|(_, s)| resident(s)).count();
         }
+        Outcome { peak: self.engine.peak, loads }
     }
 }
 
@@ -315,18 +297,11 @@
     let mut loads = 0;
     for seed in 0..SCHEDULES {
         let outcome = Schedule::new(seed, false).run();
-        assert!(
-            outcome.peak <= CAPACITY,
-            "seed {seed}: the engine held {} MiB",
-            outcome.peak
-        );
+        assert!(outcome.peak <= CAPACITY, "seed {seed}: the engine held {} MiB", outcome.peak);
         loads += outcome.loads;
     }
     println!("seeds 0..{SCHEDULES}, resident slots seen: {loads}");
-    assert!(
-        SCHEDULES as usize * 10 < loads,
-        "the schedules hardly loaded anything: {loads}"
-    );
+    assert!(SCHEDULES as usize * 10 < loads, "the schedules hardly loaded anything: {loads}");
 }
 
 /// The judge notices a controller that trusts orders to arrive at once.
--- a/tests/generated_code.rs
+++ b/tests/generated_code.rs
@@ -8,11 +8,8 @@
 #[test]
 fn generated_code_is_current() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let fds = protox::compile(
-        [root.join("proto/goldcrestpitch.proto")],
-        [root.join("proto")],
-    )
-    .expect("the protocol file compiles");
+    let fds = protox::compile([root.join("proto/goldcrestpitch.proto")], [root.join("proto")])
+        .expect("the protocol file compiles");
     let dir = env::temp_dir().join(format!("goldcrestpitch-rpc-{}", std::process::id()));
     fs::create_dir_all(&dir).unwrap();
     tonic_prost_build::configure()
@@ -27,8 +24,5 @@
         fs::write(&committed, &fresh).unwrap();
     }
     let stored = fs::read_to_string(&committed).unwrap_or_default();
-    assert!(
-        fresh == stored,
-        "{GENERATED} is stale: run with UPDATE_GENERATED=1"
-    );
+    assert!(fresh == stored, "{GENERATED} is stale: run with UPDATE_GENERATED=1");
 }
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -5,12 +5,7 @@
 use goldcrestpitch::core::limits::{FairQueue, Flow, Popped};
 
 fn flow(tenant: &str, class: &str, weight: u64, priority: u64) -> Flow {
-    Flow {
-        tenant: tenant.into(),
-        class: class.into(),
-        weight,
-        priority,
-    }
+    Flow { tenant: tenant.into(), class: class.into(), weight, priority }
 }
 
 #[test]
@@ -19,20 +14,14 @@
     let later = now + Duration::from_secs(60);
     let mut queue = FairQueue::new(1000);
     for i in 0..300 {
-        queue
-            .push(&flow("flood", "c", 1, 5), later, ("flood", i))
-            .unwrap();
+        queue.push(&flow("flood", "c", 1, 5), later, ("flood", i)).unwrap();
     }
     for i in 0..100 {
-        queue
-            .push(&flow("small", "c", 3, 5), later, ("small", i))
-            .unwrap();
+        queue.push(&flow("small", "c", 3, 5), later, ("small", i)).unwrap();
     }
     let mut small = 0;
     for _ in 0..80 {
-        let Some(Popped::Start((tenant, _))) = queue.pop(now) else {
-            panic!("empty")
-        };
+        let Some(Popped::Start((tenant, _))) = queue.pop(now) else { panic!("empty") };
         small += usize::from(tenant == "small");
     }
     assert!((58..=62).contains(&small), "small got {small} of 80");
@@ -44,18 +33,12 @@
     let later = now + Duration::from_secs(60);
     let mut queue = FairQueue::new(1000);
     for i in 0..200 {
-        queue
-            .push(&flow("t", "batch", 1, 5), later, ("batch", i))
-            .unwrap();
-        queue
-            .push(&flow("t", "live", 1, 2), later, ("live", i))
-            .unwrap();
+        queue.push(&flow("t", "batch", 1, 5), later, ("batch", i)).unwrap();
+        queue.push(&flow("t", "live", 1, 2), later, ("live", i)).unwrap();
     }
     let mut live = 0;
     for _ in 0..90 {
-        let Some(Popped::Start((class, _))) = queue.pop(now) else {
-            panic!("empty")
-        };
+        let Some(Popped::Start((class, _))) = queue.pop(now) else { panic!("empty") };
         live += usize::from(class == "live");
     }
     assert!((78..=82).contains(&live), "live got {live} of 90");
@@ -65,16 +48,9 @@
 fn what_cannot_start_in_time_comes_out_as_expired() {
     let now = Instant::now();
     let mut queue = FairQueue::new(2);
-    queue
-        .push(&flow("t", "c", 1, 5), now + Duration::from_secs(9), "kept")
-        .unwrap();
-    queue
-        .push(&flow("t", "c", 1, 5), now + Duration::from_secs(1), "late")
-        .unwrap();
-    assert_eq!(
-        queue.push(&flow("t", "c", 1, 5), now, "third"),
-        Err("third")
-    );
+    queue.push(&flow("t", "c", 1, 5), now + Duration::from_secs(9), "kept").unwrap();
+    queue.push(&flow("t", "c", 1, 5), now + Duration::from_secs(1), "late").unwrap();
+    assert_eq!(queue.push(&flow("t", "c", 1, 5), now, "third"), Err("third"));
     let then = now + Duration::from_secs(2);
     assert_eq!(queue.pop(then), Some(Popped::Expired("late")));
     assert_eq!(queue.pop(then), Some(Popped::Start("kept")));
--- /dev/null
+++ b/tests/quarantine.rs
@@ -0,0 +1,109 @@
+//! A request that crashes endpoints, sent by many callers through many entries
+//! at once: the registry bounds the endpoints that it takes.
+
+use std::{
+    collections::BTreeSet,
+    time::{Duration, Instant},
+};
+
+use goldcrestpitch::core::{
+    ids::AttemptId,
+    quarantine::{Ended, Permit, Registry},
+};
+
+const ENDPOINTS: usize = 12;
+const SEEDS: u64 = 2000;
+
+/// A sender of the request: asks, is placed, crashes its endpoint, tries again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sender {
+    Asking,
+    Running(usize),
+    Ended,
+}
+
+/// Runs one schedule and returns the endpoints that crashed.
+fn schedule(seed: u64, vetted: bool) -> BTreeSet<usize> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut registry = Registry::new(2);
+    let now = Instant::now();
+    let count = rng.usize(2..8);
+    let mut senders = vec![Sender::Asking; count];
+    let mut attempts = vec![0; count];
+    let mut crashed = BTreeSet::new();
+    for step in 0..2000u64 {
+        let i = rng.usize(..count);
+        let attempt: AttemptId = format!("{i}.{}", attempts[i]).into();
+        let at = now + Duration::from_millis(step);
+        senders[i] = match senders[i] {
+            Sender::Asking => {
+                let permit = if vetted { registry.begin(at, 7, &attempt) } else { Permit::Proven };
+                match permit {
+                    Permit::Proven => Sender::Running(rng.usize(..ENDPOINTS)),
+                    Permit::First => {
+                        let endpoint = rng.usize(..ENDPOINTS);
+                        registry.placed(7, &attempt, &format!("e{endpoint}").into());
+                        Sender::Running(endpoint)
+                    }
+                    Permit::Follow(name) => match name.trim_start_matches('e').parse() {
+                        // A crashed endpoint admits nobody; the sender asks again.
+                        Ok(endpoint) if crashed.contains(&endpoint) => Sender::Asking,
+                        Ok(endpoint) => Sender::Running(endpoint),
+                        Err(_) => Sender::Ended,
+                    },
+                    Permit::Wait => Sender::Asking,
+                    Permit::Quarantined(_) => Sender::Ended,
+                }
+            }
+            Sender::Running(endpoint) => {
+                crashed.insert(endpoint);
+                let name = format!("e{endpoint}").into();
+                registry.ended(7, &attempt, &Ended::Crashed(name));
+                attempts[i] += 1;
+                Sender::Asking
+            }
+            Sender::Ended => Sender::Ended,
+        };
+    }
+    crashed
+}
+
+#[test]
+fn one_request_takes_at_most_two_endpoints() {
+    println!("seeds 0..{SEEDS}");
+    for seed in 0..SEEDS {
+        let crashed = schedule(seed, true);
+        assert!(crashed.len() <= 2, "seed {seed}: endpoints {crashed:?} crashed");
+    }
+}
+
+/// Without the registry the same schedules take more, so the check can fail.
+#[test]
+fn without_the_registry_more_are_taken() {
+    assert!((0..50).any(|seed| 2 < schedule(seed, false).len()));
+}
+
+#[test]
+fn who_followed_is_followed_when_the_first_goes_away() {
+    let now = Instant::now();
+    let mut registry = Registry::new(2);
+    let [a, b, c]: [AttemptId; 3] = ["a".into(), "b".into(), "c".into()];
+    assert_eq!(registry.begin(now, 7, &a), Permit::First);
+    registry.placed(7, &a, &"e1".into());
+    assert_eq!(registry.begin(now, 7, &b), Permit::Follow("e1".into()));
+    registry.ended(7, &a, &Ended::Otherwise);
+    assert_eq!(registry.begin(now, 7, &c), Permit::Follow("e1".into()));
+    registry.ended(7, &b, &Ended::Otherwise);
+    registry.ended(7, &c, &Ended::Otherwise);
+    assert!(registry.is_empty());
+}
+
+#[test]
+fn attempt_whose_end_is_never_reported_is_forgotten() {
+    let now = Instant::now();
+    let mut registry = Registry::new(2);
+    assert_eq!(registry.begin(now, 7, &"a".into()), Permit::First);
+    assert_eq!(registry.begin(now, 7, &"b".into()), Permit::Wait);
+    let later = now + Duration::from_secs(61);
+    assert_eq!(registry.begin(later, 7, &"c".into()), Permit::First);
+}
