Read the rest of a body that is too large before the refusal

Ruled out: the limit itself, which was right each time. Conclusion: up to 16 MiB more are read and thrown away.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,9 +1,9 @@
 //! An HTTP/1.1 and HTTP/2 server with graceful shutdown.
 
-use std::{convert::Infallible, future::Future, io, time::Duration};
+use std::{convert::Infallible, fmt::Display, future::Future, io, time::Duration};
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Incoming},
@@ -31,6 +31,7 @@
 
 const HEADER_LIMIT: Duration = Duration::from_secs(10);
 const MAX_HEADER_BYTES: usize = 32 * 1024;
+const MAX_THROWN_AWAY_BYTES: usize = 16 * 1024 * 1024;
 // A listener that is out of file handles must not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -81,26 +82,44 @@
 
 /// Reads a request's body within a size and a time.
 ///
+/// The rest of a body that is too large is read and thrown away, within limits:
+/// a connection that is closed with unread data loses the reply on its way.
+///
 /// # Errors
 /// [`Code::BodyTooLarge`], [`Code::SlowSender`] or [`Code::MalformedBody`].
 pub async fn read_body<B>(body: B, max_bytes: usize, limit: Duration) -> Result<Bytes, Refusal>
 where
-    B: Body<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Display,
 {
-    let whole = Limited::new(body, max_bytes).collect();
-    let Ok(read) = time::timeout(limit, whole).await else {
+    let read = time::timeout(limit, read_within(body, max_bytes)).await;
+    read.unwrap_or_else(|_| {
         let text = format!("the body did not arrive within {} ms", limit.as_millis());
-        return Err(Refusal::new(Code::SlowSender, text));
-    };
-    match read {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => {
-            let text = format!("the body is larger than {max_bytes} bytes");
-            Err(Refusal::new(Code::BodyTooLarge, text))
+        Err(Refusal::new(Code::SlowSender, text))
+    })
+}
+
+async fn read_within<B>(mut body: B, max_bytes: usize) -> Result<Bytes, Refusal>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Display,
+{
+    let mut buf = BytesMut::new();
+    let mut size = 0;
+    while let Some(frame) = body.frame().await {
+        let broken = |err| Refusal::new(Code::MalformedBody, format!("the body broke off: {err}"));
+        let Ok(data) = frame.map_err(broken)?.into_data() else { continue };
+        size += data.len();
+        if size <= max_bytes {
+            buf.extend_from_slice(&data);
+        } else if max_bytes + MAX_THROWN_AWAY_BYTES < size {
+            break;
         }
-        Err(err) => Err(Refusal::new(Code::MalformedBody, format!("the body broke off: {err}"))),
     }
+    if size <= max_bytes {
+        return Ok(buf.freeze());
+    }
+    Err(Refusal::new(Code::BodyTooLarge, format!("the body is larger than {max_bytes} bytes")))
 }
 
 /// A JSON reply.
