--- a/src/agent/process.rs
+++ b/src/agent/process.rs
@@ -8,8 +8,7 @@
 
 use log::info;
 use tokio::{net::TcpListener, task::JoinHandle};
-use tokio_stream::wrappers::TcpListenerStream;
-use tonic::transport::Server;
+use tonic::transport::{Server, server::TcpIncoming};
 
 use crate::{
     agent::{
@@ -62,12 +61,14 @@
     tokio::spawn(shared.clone().pump_loop(timers));
     let rpc = AgentRpc { shared: shared.clone() };
     let mut stopped = stop;
-    let server = Server::builder()
-        .tcp_nodelay(true)
-        .add_service(AgentServer::new(rpc))
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+    // Small messages must not wait for a full segment.
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    let server = Server::builder().add_service(AgentServer::new(rpc)).serve_with_incoming_shutdown(
+        incoming,
+        async move {
             let _ = stopped.wait_for(|s| *s).await;
-        });
+        },
+    );
     let server = tokio::spawn(async move {
         // Single connections that fail do not end the server.
         let _ = server.await;
--- a/src/bench/mod.rs
+++ b/src/bench/mod.rs
@@ -1,9 +1,49 @@
 //! Measurements that anyone can repeat: `goldcrestpitch bench`.
 
-use crate::cli::EXIT_USAGE;
+mod claims;
+mod fit;
+mod open_loop;
+mod overhead;
+mod routing;
+mod sizes;
+mod threads;
+
+use std::io;
+
+use crate::cli::{EXIT_FAILED, EXIT_OK, EXIT_USAGE};
+
+pub use fit::{Fit, fit};
 
 /// Runs a measurement and returns the exit code.
 pub async fn run(what: &str) -> u8 {
-    eprintln!("{what:?} is not a measurement");
-    EXIT_USAGE
+    let result: io::Result<()> = match what {
+        "overhead" => overhead::run().await,
+        "slopes" => slopes().await,
+        "claims" => claims::run().await,
+        "routing" => routing::run().await,
+        _ => {
+            eprintln!("{what:?} is none of: overhead, slopes, claims, routing");
+            return EXIT_USAGE;
+        }
+    };
+    match result {
+        Ok(()) => EXIT_OK,
+        Err(err) => {
+            eprintln!("{err}");
+            EXIT_FAILED
+        }
+    }
+}
+
+async fn slopes() -> io::Result<()> {
+    sizes::run();
+    open_loop::run().await
+}
+
+/// Prints the machine that figures were taken on.
+fn print_machine() {
+    let cores = std::thread::available_parallelism().map_or(0, usize::from);
+    let info = std::fs::read_to_string("/proc/cpuinfo").unwrap_or_default();
+    let model = info.lines().find_map(|l| l.strip_prefix("model name\t: ")).unwrap_or("unknown");
+    println!("machine: {cores} cores, {model}; goldcrestpitch {}", env!("CARGO_PKG_VERSION"));
 }
--- a/src/core/placement/static_plan.rs
+++ b/src/core/placement/static_plan.rs
@@ -3,21 +3,31 @@
 //! availability zones; what is left is filled evenly. When not all models fit,
 //! some engines keep room in which the others are loaded on demand.
 
-use std::{cmp::Reverse, collections::BTreeMap};
+use std::cmp::Reverse;
 
 use crate::core::{
     config::{Item, ItemKind, Key, Scope, State},
     hash,
-    ids::{EndpointId, Mib, ModelName},
+    ids::Mib,
     placement::Plan,
 };
 
 struct Engine<'a> {
     name: &'a str,
-    zone: &'a str,
+    zone: usize,
     room: Mib,
 }
 
+struct Model<'a> {
+    name: &'a str,
+    size: Mib,
+    wanted: usize,
+    /// Positions of the engines that hold it, in the order of their choice.
+    held: Vec<usize>,
+    /// No engine has room for a further replica; room never grows again.
+    full: bool,
+}
+
 // One engine in so many keeps room for models on demand, but at least one.
 const ENGINES_PER_SWAP: usize = 8;
 
@@ -48,26 +58,35 @@
 }
 
 /// Places models while some engines keep `kept` MiB free.
-fn place(state: &State, models: &[(&str, Mib)], kept: Mib) -> Plan {
+fn place(state: &State, sorted: &[(&str, Mib)], kept: Mib) -> Plan {
     let mut engines = engines(state);
     keep_room(&mut engines, kept);
-    let mut replicas: BTreeMap<ModelName, Vec<EndpointId>> =
-        models.iter().map(|(name, _)| ((*name).into(), Vec::new())).collect();
     let wanted = |name: &str| state.value(Key::MinReplicas, &Scope::model(name)) as usize;
-    let most = models.iter().map(|(name, _)| wanted(name)).max().unwrap_or(0);
+    let mut models: Vec<Model<'_>> = sorted
+        .iter()
+        .map(|&(name, size)| Model {
+            name,
+            size,
+            wanted: wanted(name),
+            held: Vec::new(),
+            full: false,
+        })
+        .collect();
+    let most = models.iter().map(|m| m.wanted).max().unwrap_or(0);
     for round in 0..most.max(engines.len()) {
+        let filling = most <= round;
+        let due = |m: &&mut Model<'_>| !m.full && (filling || round < m.wanted);
         let mut placed = false;
-        for (name, size) in models {
-            let filling = most <= round;
-            if filling || round < wanted(name) {
-                placed |= add(&mut engines, &mut replicas, name, *size);
-            }
+        for model in models.iter_mut().filter(due) {
+            model.full = !add(&mut engines, model);
+            placed |= !model.full;
         }
-        if most <= round && !placed {
+        if filling && !placed {
             break;
         }
     }
-    Plan { replicas }
+    let names = |held: &[usize]| held.iter().map(|i| engines[*i].name.into()).collect();
+    Plan { replicas: models.iter().map(|m| (m.name.into(), names(&m.held))).collect() }
 }
 
 fn keep_room(engines: &mut [Engine<'_>], kept: Mib) {
@@ -80,8 +99,14 @@
 }
 
 fn engines(state: &State) -> Vec<Engine<'_>> {
+    let mut zones: Vec<&str> = Vec::new();
     let all = state.items(ItemKind::Endpoint).filter_map(|(name, item)| match item {
         Item::Endpoint { zone, memory_mib, service: None, .. } => {
+            let known = zones.iter().position(|z| z == zone);
+            let zone = known.unwrap_or_else(|| {
+                zones.push(zone);
+                zones.len() - 1
+            });
             Some(Engine { name, zone, room: state.model_room(name, *memory_mib) })
         }
         _ => None,
@@ -90,26 +115,16 @@
 }
 
 /// Adds one replica where no other stands; says whether there was room.
-fn add(
-    engines: &mut [Engine<'_>],
-    replicas: &mut BTreeMap<ModelName, Vec<EndpointId>>,
-    model: &str,
-    size: Mib,
-) -> bool {
-    let Some(held) = replicas.get_mut(model) else {
-        return false;
-    };
-    let zones: Vec<&str> =
-        engines.iter().filter(|e| held.iter().any(|h| **h == *e.name)).map(|e| e.zone).collect();
-    let able =
-        engines.iter_mut().filter(|e| size <= e.room && !held.iter().any(|h| **h == *e.name));
-    let best = able.max_by_key(|e| {
-        let shared = zones.iter().filter(|z| **z == e.zone).count();
-        let rank = hash::stable(&[model.as_bytes(), e.name.as_bytes()]);
-        (Reverse(shared), e.room, rank)
+fn add(engines: &mut [Engine<'_>], model: &mut Model<'_>) -> bool {
+    let in_zone = |zone| model.held.iter().filter(|h| engines[**h].zone == zone).count();
+    let able = engines.iter().enumerate();
+    let able = able.filter(|(i, e)| model.size <= e.room && !model.held.contains(i));
+    let best = able.max_by_key(|(_, e)| {
+        let rank = hash::stable(&[model.name.as_bytes(), e.name.as_bytes()]);
+        (Reverse(in_zone(e.zone)), e.room, rank)
     });
-    let Some(engine) = best else { return false };
-    engine.room -= size;
-    held.push(engine.name.into());
+    let Some(chosen) = best.map(|(i, _)| i) else { return false };
+    engines[chosen].room -= model.size;
+    model.held.push(chosen);
     true
 }
--- a/src/core/routing/probe.rs
+++ b/src/core/routing/probe.rs
@@ -64,6 +64,11 @@
 impl Offer {
     /// Whether the offer is good enough not to ask further endpoints.
     pub fn is_good(&self, limit: Duration) -> bool {
-        self.admits && self.resident && self.expected <= limit
+        self.is_usable() && self.expected <= limit
+    }
+
+    /// Whether the endpoint admits the request and need not load the model first.
+    pub fn is_usable(&self) -> bool {
+        self.admits && self.resident
     }
 }
--- a/src/demo/bed.rs
+++ b/src/demo/bed.rs
@@ -24,7 +24,7 @@
     entry::{self, EntryConfig},
     fakes::{EngineTraits, FakeEngine, FakeLog, FakeService, FakeVmList, LogFaults, WeightStore},
     fleet::{ChangeError, ConfigStore, submit},
-    http::{StopSignal, stop_channel},
+    http::{Stop, StopSignal, stop_channel},
     platform::{HttpBackend, HttpLog, HttpVmList, Vm, VmState},
 };
 
@@ -137,6 +137,23 @@
     SocketAddr::from((host, port))
 }
 
+/// Serves an engine on a thread of its own, as it would run on a machine of its own.
+async fn on_own_thread(engine: FakeEngine, mut stop: Stop) -> io::Result<SocketAddr> {
+    let server_stop = stop.clone();
+    let start = move || async move {
+        let (listener, address) = listen().await?;
+        let server = tokio::spawn(engine.serve(listener, server_stop));
+        Ok((server, address))
+    };
+    let stop_server = |server: tokio::task::JoinHandle<()>| async move { server.abort() };
+    let (node, address) = Node::spawn("fake", start, stop_server).await?;
+    tokio::spawn(async move {
+        let _ = stop.wait_for(|s| *s).await;
+        node.kill().await;
+    });
+    Ok(address)
+}
+
 async fn listen() -> io::Result<(TcpListener, SocketAddr)> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let address = listener.local_addr()?;
@@ -188,8 +205,7 @@
         let store = WeightStore::new(LOADS_AT_ONCE);
         for spec in &shape.engines {
             let engine = FakeEngine::new(spec.traits, store.clone());
-            let (listener, address) = listen().await?;
-            tokio::spawn(engine.clone().serve(listener, self.stop.subscribe()));
+            let address = on_own_thread(engine.clone(), self.stop.subscribe()).await?;
             self.engines.insert(spec.name.clone(), engine);
             self.backends.insert(spec.name.clone(), address);
         }
@@ -299,7 +315,7 @@
             Ok((process, store))
         };
         let stop = |process: agent::AgentProcess<HttpBackend, HttpLog>| process.stop();
-        let (node, store) = Node::spawn(start, stop).await?;
+        let (node, store) = Node::spawn(endpoint, start, stop).await?;
         self.vms.put(vm(endpoint, address, false));
         self.agents.insert(endpoint.to_owned(), AgentNode { node, store });
         Ok(())
@@ -325,7 +341,7 @@
             Ok((process, (address, peer, store)))
         };
         let stop = |process: entry::EntryProcess<HttpLog>| process.stop();
-        let (node, (address, peer, store)) = Node::spawn(start, stop).await?;
+        let (node, (address, peer, store)) = Node::spawn(name, start, stop).await?;
         self.vms.put(vm(name, peer, true));
         self.entries.insert(name.to_owned(), EntryNode { node, address, store });
         Ok(())
@@ -399,6 +415,34 @@
         false
     }
 
+    /// Takes away limits that a measurement would otherwise run into.
+    ///
+    /// # Errors
+    /// The verdict on a change.
+    pub async fn unlimited(&mut self) -> Result<(), ChangeError> {
+        let limits = [
+            ("tenant.rate_per_s", 1_000_000),
+            ("tenant.concurrency", 100_000),
+            ("endpoint.max_running", 10_000),
+            ("endpoint.queue_limit", 10_000),
+        ];
+        for (key, value) in limits {
+            self.change(Action::Set { key: key.to_owned(), value }).await?;
+        }
+        self.wait_in_force(CHANGE_LIMIT).await;
+        Ok(())
+    }
+
+    /// Address of the engine or service of an endpoint.
+    pub fn backend(&self, endpoint: &str) -> SocketAddr {
+        self.backends[endpoint]
+    }
+
+    /// Address of the list of VMs, for other processes.
+    pub fn vms_address(&self) -> SocketAddr {
+        self.vms_address
+    }
+
     /// Address of the log, for other processes.
     pub fn log_address(&self) -> SocketAddr {
         self.log_address
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -11,6 +11,7 @@
     body::Incoming,
     header::{HeaderName, HeaderValue},
 };
+use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::time;
 
@@ -139,6 +140,16 @@
     }
 }
 
+#[derive(Deserialize)]
+struct Chunk {
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    text: String,
+}
+
 async fn read_whole(body: Incoming, began: Instant, result: &mut CallResult) {
     let Ok(body) = body.collect().await else {
         result.status = 0;
@@ -167,13 +178,14 @@
                 done = true;
                 continue;
             }
-            let document: Value = serde_json::from_slice(&event).unwrap_or_default();
-            note_error(&document, result);
-            if let Some(text) = document["choices"][0]["text"].as_str() {
-                if result.body.is_empty() {
-                    result.first = began.elapsed();
+            match serde_json::from_slice::<Chunk>(&event) {
+                Ok(chunk) => {
+                    if result.body.is_empty() {
+                        result.first = began.elapsed();
+                    }
+                    result.body.extend(chunk.choices.into_iter().map(|c| c.text));
                 }
-                result.body.push_str(text);
+                Err(_) => note_error(&serde_json::from_slice(&event).unwrap_or_default(), result),
             }
         }
     }
--- a/src/demo/node.rs
+++ b/src/demo/node.rs
@@ -38,6 +38,7 @@
     /// # Errors
     /// What `start` fails with.
     pub async fn spawn<P, I, S, F>(
+        name: &str,
         start: impl FnOnce() -> S + Send + 'static,
         stop: impl FnOnce(P) -> F + Send + 'static,
     ) -> io::Result<(Self, I)>
@@ -50,7 +51,7 @@
         let (commands, mut rx) = mpsc::unbounded_channel();
         let (info_tx, info) = oneshot::channel();
         let (end, ended) = oneshot::channel();
-        let thread = thread::spawn(move || {
+        let thread = thread::Builder::new().name(name.to_owned()).spawn(move || {
             let runtime = Builder::new_current_thread().enable_all().build();
             let Ok(runtime) = runtime else { return };
             runtime.block_on(async {
@@ -75,7 +76,7 @@
             });
             runtime.shutdown_timeout(SHUTDOWN_LIMIT);
             let _ = end.send(());
-        });
+        })?;
         let info = info.await.map_err(|_| io::Error::other("the node ended at its start"))??;
         Ok((Self { commands, ended, thread: Some(thread) }, info))
     }
--- a/src/demo/scenario.rs
+++ b/src/demo/scenario.rs
@@ -229,6 +229,8 @@
          -H 'idempotency-key: k1' -d '{{\"id\":\"k1\"}}'"
     );
     println!("goldcrestpitch config --log {log} get");
+    println!("goldcrestpitch status --log {log}");
+    println!("The log is at {log}, the list of VMs at {}.", bed.vms_address());
     println!("goldcrestpitch config --log {log} set tenant.rate_per_s 50");
     std::future::pending().await
 }
--- a/src/entry/completion.rs
+++ b/src/entry/completion.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use hyper::{Response, StatusCode, header};
 use log::info;
-use metrics::{counter, histogram};
+use metrics::{Histogram, counter, histogram};
 use serde_json::{Map, Value, json};
 use tokio::time;
 
@@ -44,12 +44,12 @@
         }
     }
 
-    fn choice(self, text: &str, streamed: bool) -> Value {
-        match (self, streamed) {
-            (Self::Text, _) => json!({ "index": 0, "text": text }),
-            (Self::Chat, true) => json!({ "index": 0, "delta": { "content": text } }),
-            (Self::Chat, false) => {
-                json!({ "index": 0, "message": { "role": "assistant", "content": text } })
+    fn choice(self, text: &str) -> Value {
+        match self {
+            Self::Text => json!({ "index": 0, "finish_reason": "stop", "text": text }),
+            Self::Chat => {
+                let message = json!({ "role": "assistant", "content": text });
+                json!({ "index": 0, "finish_reason": "stop", "message": message })
             }
         }
     }
@@ -113,25 +113,27 @@
             "id": self.id,
             "object": self.kind.object(false),
             "model": self.target,
-            "choices": [self.choice(text, false)],
+            "choices": [self.kind.choice(text)],
             "usage": { "completion_tokens": tokens },
         })
     }
 
-    fn choice(&self, text: &str, streamed: bool) -> Value {
-        let mut choice = self.kind.choice(text, streamed);
-        choice["finish_reason"] = if streamed { Value::Null } else { json!("stop") };
-        choice
-    }
-
-    fn chunk(&self, text: &str) -> Bytes {
-        let chunk = json!({
-            "id": self.id,
-            "object": self.kind.object(true),
-            "model": self.target,
-            "choices": [self.choice(text, true)],
-        });
-        format!("data: {chunk}\n\n").into()
+    /// The parts of a streamed event before and behind its text, which are the
+    /// same for every token.
+    fn frame(&self) -> (String, &'static str) {
+        let head = |value: &str| serde_json::to_string(value).unwrap_or_default();
+        let (open, close) = match self.kind {
+            Kind::Text => ("\"text\":", "}]}\n\n"),
+            Kind::Chat => ("\"delta\":{\"content\":", "}}]}\n\n"),
+        };
+        let start = format!(
+            "data: {{\"id\":{},\"object\":{},\"model\":{},\"choices\":[{{\"index\":0,\
+             \"finish_reason\":null,{open}",
+            head(&self.id),
+            head(self.kind.object(true)),
+            head(&self.target),
+        );
+        (start, close)
     }
 }
 
@@ -141,19 +143,29 @@
     last: Instant,
     first: Option<Instant>,
     tokens: u32,
+    first_seconds: Histogram,
+    gap_seconds: Histogram,
 }
 
 impl Timing {
     fn new(caller: Caller) -> Self {
-        Self { last: caller.started, caller, first: None, tokens: 0 }
+        let labels = [("tenant", caller.tenant.to_string()), ("class", caller.class.to_string())];
+        Self {
+            last: caller.started,
+            first: None,
+            tokens: 0,
+            // Found once for each request, not for each token.
+            first_seconds: histogram!(names::FIRST_TOKEN, &labels),
+            gap_seconds: histogram!(names::TOKEN_GAP, &labels),
+            caller,
+        }
     }
 
     fn token(&mut self) {
         let now = Instant::now();
-        let (tenant, class) = (self.caller.tenant.to_string(), self.caller.class.to_string());
-        let name = if self.first.is_none() { names::FIRST_TOKEN } else { names::TOKEN_GAP };
         let since = now.duration_since(self.last).as_secs_f64();
-        histogram!(name, "tenant" => tenant, "class" => class).record(since);
+        let histogram = if self.first.is_none() { &self.first_seconds } else { &self.gap_seconds };
+        histogram.record(since);
         self.first.get_or_insert(now);
         self.last = now;
         self.tokens += 1;
@@ -293,11 +305,12 @@
         tx: &Sender,
     ) -> u32 {
         let mut piece = first;
+        let (head, tail) = call.frame();
         loop {
             let part = match piece {
                 Piece::Token(token) => {
                     timing.token();
-                    call.chunk(&String::from_utf8_lossy(&token))
+                    event(&head, &token, tail)
                 }
                 Piece::Complete => {
                     let _ = tx.send(Ok(Bytes::from_static(b"data: [DONE]\n\n"))).await;
@@ -323,3 +336,13 @@
         }
     }
 }
+
+/// One streamed event.
+fn event(head: &str, token: &[u8], tail: &str) -> Bytes {
+    let text = serde_json::to_string(&String::from_utf8_lossy(token)).unwrap_or_default();
+    let mut buf = String::with_capacity(head.len() + text.len() + tail.len());
+    buf.push_str(head);
+    buf.push_str(&text);
+    buf.push_str(tail);
+    buf.into()
+}
--- a/src/entry/partition.rs
+++ b/src/entry/partition.rs
@@ -18,7 +18,11 @@
 };
 
 // Claims that come within this time share an append.
-const LINGER: Duration = Duration::from_millis(20);
+const LINGER: Duration = Duration::from_millis(10);
+// Appends of one partition are at least so far apart, which bounds those of the fleet.
+const APPEND_INTERVAL: Duration = Duration::from_millis(100);
+// Records that nobody waits for go with the next claim, or alone after this time.
+const TELL_LINGER: Duration = Duration::from_millis(500);
 const MAX_BATCH: usize = 256;
 // Positions in a claim stream count records and, within one, claims.
 const CLAIMS_PER_RECORD: Offset = 4096;
@@ -42,8 +46,13 @@
     /// Starts the task; it reads the stream when the first job comes.
     pub(super) fn start<L: Log>(log: L, number: u64) -> Self {
         let (jobs, rx) = mpsc::channel(WAITING_REQUESTS);
-        let keeper =
-            Keeper { log, stream: format!("claims-{number}"), book: Book::default(), next: 1 };
+        let keeper = Keeper {
+            log,
+            stream: format!("claims-{number}"),
+            book: Book::default(),
+            next: 1,
+            appended: None,
+        };
         tokio::spawn(keeper.run(rx));
         Self { jobs }
     }
@@ -78,12 +87,14 @@
     book: Book,
     /// Offset of the next record to read.
     next: Offset,
+    /// When the last append was sent.
+    appended: Option<time::Instant>,
 }
 
 impl<L: Log> Keeper<L> {
     async fn run(mut self, mut jobs: mpsc::Receiver<Job>) {
         while let Some(first) = jobs.recv().await {
-            let batch = gather(first, &mut jobs).await;
+            let batch = gather(first, &mut jobs, self.appended).await;
             self.handle(batch).await;
         }
     }
@@ -92,7 +103,10 @@
         let records: Vec<ClaimRecord> = batch.iter().filter_map(record).collect();
         let appended = match records.is_empty() {
             true => Ok(None),
-            false => self.append(&records).await.map(Some),
+            false => {
+                self.appended = Some(time::Instant::now());
+                self.append(&records).await.map(Some)
+            }
         };
         let wanted: Vec<&Claim> = batch.iter().filter_map(claim).collect();
         let read = match &appended {
@@ -219,14 +233,24 @@
     }
 }
 
-async fn gather(first: Job, jobs: &mut mpsc::Receiver<Job>) -> Vec<Job> {
+/// Collects the jobs of one append: those that come while it may not be sent yet.
+async fn gather(
+    first: Job,
+    jobs: &mut mpsc::Receiver<Job>,
+    appended: Option<time::Instant>,
+) -> Vec<Job> {
+    let now = time::Instant::now();
+    let earliest = appended.map_or(now, |at| at + APPEND_INTERVAL);
+    let mut awaited = !matches!(first, Job::Tell(_));
+    let mut until = if awaited { earliest.max(now + LINGER) } else { now + TELL_LINGER };
     let mut batch = vec![first];
-    let until = time::Instant::now() + LINGER;
     while batch.len() < MAX_BATCH {
-        match time::timeout_at(until, jobs.recv()).await {
-            Ok(Some(job)) => batch.push(job),
-            Ok(None) | Err(_) => break,
+        let Ok(Some(job)) = time::timeout_at(until, jobs.recv()).await else { break };
+        if !awaited && !matches!(job, Job::Tell(_)) {
+            awaited = true;
+            until = earliest.max(time::Instant::now() + LINGER);
         }
+        batch.push(job);
     }
     batch
 }
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -19,6 +19,8 @@
 };
 
 const ASKED_TOGETHER: usize = 2;
+// Further endpoints are asked only while none of these could run the request.
+const ASKED_AT_MOST: usize = 4;
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 // An offer with a longer wait lets further agents be asked.
 const GOOD_WAIT: Duration = Duration::from_millis(250);
@@ -64,7 +66,10 @@
                 .map(|(i, candidate)| self.probe(wanted, candidate, batch * ASKED_TOGETHER + i));
             let found = join_all(asked).await;
             offers.extend(chunk.iter().cloned().zip(found).filter_map(|(c, o)| Some((c, o?))));
-            if offers.iter().any(|(_, o)| o.is_good(GOOD_WAIT)) {
+            let asked = (batch + 1) * ASKED_TOGETHER;
+            let good = offers.iter().any(|(_, o)| o.is_good(GOOD_WAIT));
+            let enough = ASKED_AT_MOST <= asked && offers.iter().any(|(_, o)| o.is_usable());
+            if good || enough {
                 break;
             }
         }
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -8,8 +8,7 @@
 
 use log::info;
 use tokio::{net::TcpListener, task::JoinHandle, time};
-use tokio_stream::wrappers::TcpListenerStream;
-use tonic::transport::Server;
+use tonic::transport::{Server, server::TcpIncoming};
 
 use crate::{
     core::{
@@ -73,10 +72,10 @@
     };
     let rpc = PeerServer::new(PeerRpc { shared: shared.clone() });
     let mut stopped = stop.clone();
-    let peer_server = Server::builder()
-        .tcp_nodelay(true)
-        .add_service(rpc)
-        .serve_with_incoming_shutdown(TcpListenerStream::new(peers), async move {
+    // Small messages must not wait for a full segment.
+    let incoming = TcpIncoming::from(peers).with_nodelay(Some(true));
+    let peer_server =
+        Server::builder().add_service(rpc).serve_with_incoming_shutdown(incoming, async move {
             let _ = stopped.wait_for(|s| *s).await;
         });
     let servers = vec![
--- a/src/rpc/wire.rs
+++ b/src/rpc/wire.rs
@@ -14,7 +14,6 @@
             code: refusal.code.number(),
             message: refusal.message,
             retry_after_ms: refusal.retry_after.map_or(0, |d| d.as_millis() as u32),
-            hint: String::new(),
         }
     }
 }
--- a/src/telemetry/recorder.rs
+++ b/src/telemetry/recorder.rs
@@ -4,11 +4,13 @@
 
 use metrics::gauge;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use tokio::time;
 
 use crate::telemetry::names;
 
 const SECONDS: &[f64] =
     &[0.001, 0.0025, 0.005, 0.01, 0.02, 0.027, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 5.0, 10.0, 30.0];
+const UPKEEP_EVERY: Duration = Duration::from_secs(5);
 // Kernel ticks a second in /proc, fixed on Linux.
 const TICKS_PER_SECOND: f64 = 100.0;
 
@@ -19,12 +21,21 @@
 }
 
 impl Metrics {
-    /// Installs the recorder of the process; nothing when one is installed.
+    /// Installs the recorder of the process and starts its upkeep in the current
+    /// runtime; nothing when one is installed.
     pub fn install() -> Option<Self> {
         let builder = PrometheusBuilder::new();
         let suffix = Matcher::Suffix("_seconds".to_owned());
         let builder = builder.set_buckets_for_metric(suffix, SECONDS).ok()?;
         let handle = builder.install_recorder().ok()?;
+        let upkeep = handle.clone();
+        tokio::spawn(async move {
+            // Values wait in memory until they are sorted into their buckets.
+            loop {
+                time::sleep(UPKEEP_EVERY).await;
+                upkeep.run_upkeep();
+            }
+        });
         Some(Self { handle })
     }
 
