Hold control traffic of the target size within a node's limits

Cause: the arithmetic of docs/CAPACITY.md, made while writing it, passed limits: the list of VMs read every second (940 VMs, about 103 KB) against 11 KB/s; a home of one of 8 claim partitions about 25 KB/s; a plan computed on each change. After: the list is read again only when its ETag changed; 32 partitions, each with a bucket of 2.5 appends/s and a burst of 4, and own records are not read back when nothing stands between; plans are computed when their inputs changed.

--- a/src/core/placement/mod.rs
+++ b/src/core/placement/mod.rs
@@ -6,4 +6,4 @@
 
 pub use needs::needs;
 pub use plan::Plan;
-pub use static_plan::static_plan;
+pub use static_plan::{same_inputs, static_plan};
--- a/src/core/placement/static_plan.rs
+++ b/src/core/placement/static_plan.rs
@@ -53,6 +53,32 @@
     }
 }
 
+/// Whether two states lead to the same plan because all that it depends on is equal.
+///
+/// ```
+/// use goldcrestpitch::core::{config::State, placement::same_inputs};
+/// let mut other = State::default();
+/// other.defaults.insert("tenant.weight".to_owned(), 7);
+/// assert!(same_inputs(&State::default(), &other));
+/// other.defaults.insert("model.min_replicas".to_owned(), 2);
+/// assert!(!same_inputs(&State::default(), &other));
+/// ```
+pub fn same_inputs(a: &State, b: &State) -> bool {
+    const KINDS: [ItemKind; 2] = [ItemKind::Model, ItemKind::Endpoint];
+    const KEYS: [Key; 2] = [Key::MinReplicas, Key::KvReservePercent];
+    let except = |s: &State, key: Key| -> Vec<(String, u64)> {
+        let values = s.exceptions.iter().filter_map(|(selector, keys)| {
+            Some((selector.to_string(), keys.get(key.name())?.value))
+        });
+        values.collect()
+    };
+    KINDS.iter().all(|kind| a.items.get(kind) == b.items.get(kind))
+        && KEYS.iter().all(|key| {
+            let name = key.name();
+            a.defaults.get(name) == b.defaults.get(name) && except(a, *key) == except(b, *key)
+        })
+}
+
 fn fits_somewhere(state: &State, size: Mib) -> bool {
     state.engines().any(|(name, memory)| size <= state.model_room(name, memory))
 }
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -30,7 +30,7 @@
 };
 
 /// Partitions of keys; the same in every process.
-pub const CLAIM_PARTITIONS: u64 = 8;
+pub const CLAIM_PARTITIONS: u64 = 32;
 
 const PEER_LIMIT: Duration = Duration::from_millis(3500);
 
--- a/src/entry/partition.rs
+++ b/src/entry/partition.rs
@@ -13,14 +13,16 @@
     core::{
         idempotency::{Book, Claim, ClaimRecord, ClaimVerdict},
         ids::Offset,
+        limits::TokenBucket,
     },
     platform::{AppendError, Log, ReadError},
 };
 
 // Claims that come within this time share an append.
 const LINGER: Duration = Duration::from_millis(10);
-// Appends of one partition are at least so far apart, which bounds those of the fleet.
-const APPEND_INTERVAL: Duration = Duration::from_millis(100);
+// Bounds the appends of the fleet: so many a second for each partition, and a burst.
+const APPENDS_PER_SECOND: f64 = 2.5;
+const APPEND_BURST: f64 = 4.0;
 // Records that nobody waits for go with the next claim, or alone after this time.
 const TELL_LINGER: Duration = Duration::from_millis(500);
 const MAX_BATCH: usize = 256;
@@ -51,7 +53,7 @@
             stream: format!("claims-{number}"),
             book: Book::default(),
             next: 1,
-            appended: None,
+            rate: TokenBucket::new(APPENDS_PER_SECOND, APPEND_BURST, Instant::now()),
         };
         tokio::spawn(keeper.run(rx));
         Self { jobs }
@@ -87,14 +89,13 @@
     book: Book,
     /// Offset of the next record to read.
     next: Offset,
-    /// When the last append was sent.
-    appended: Option<time::Instant>,
+    rate: TokenBucket,
 }
 
 impl<L: Log> Keeper<L> {
     async fn run(mut self, mut jobs: mpsc::Receiver<Job>) {
         while let Some(first) = jobs.recv().await {
-            let batch = gather(first, &mut jobs, self.appended).await;
+            let batch = gather(first, &mut jobs, &mut self.rate).await;
             self.handle(batch).await;
         }
     }
@@ -103,13 +104,15 @@
         let records: Vec<ClaimRecord> = batch.iter().filter_map(record).collect();
         let appended = match records.is_empty() {
             true => Ok(None),
-            false => {
-                self.appended = Some(time::Instant::now());
-                self.append(&records).await.map(Some)
-            }
+            false => self.append(&records).await.map(Some),
         };
         let wanted: Vec<&Claim> = batch.iter().filter_map(claim).collect();
         let read = match &appended {
+            // With nothing between, the own records need not be read back.
+            Ok(Some(offset)) if *offset == self.next => {
+                self.fold_all(*offset, records);
+                true
+            }
             Ok(Some(offset)) => self.read_to(*offset).await,
             Ok(None) => self.read_to_end().await,
             Err(AppendError::Refused(text)) => {
@@ -227,20 +230,26 @@
                 return;
             }
         };
+        self.fold_all(offset, records);
+    }
+
+    fn fold_all(&mut self, offset: Offset, records: Vec<ClaimRecord>) {
         for (i, record) in records.into_iter().enumerate() {
             self.book.apply(offset * CLAIMS_PER_RECORD + i as Offset, record);
         }
+        self.next = offset + 1;
     }
 }
 
 /// Collects the jobs of one append: those that come while it may not be sent yet.
-async fn gather(
-    first: Job,
-    jobs: &mut mpsc::Receiver<Job>,
-    appended: Option<time::Instant>,
-) -> Vec<Job> {
+async fn gather(first: Job, jobs: &mut mpsc::Receiver<Job>, rate: &mut TokenBucket) -> Vec<Job> {
     let now = time::Instant::now();
-    let earliest = appended.map_or(now, |at| at + APPEND_INTERVAL);
+    let mut earliest = now;
+    if let Err(wait) = rate.take(now.into_std(), 1.0) {
+        earliest += wait;
+        // It is there by then: nobody else takes from this bucket.
+        let _ = rate.take(earliest.into_std(), 1.0);
+    }
     let mut awaited = !matches!(first, Job::Tell(_));
     let mut until = if awaited { earliest.max(now + LINGER) } else { now + TELL_LINGER };
     let mut batch = vec![first];
--- a/src/fakes/vm_list.rs
+++ b/src/fakes/vm_list.rs
@@ -2,10 +2,11 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use hyper::StatusCode;
+use hyper::{Request, StatusCode, body::Incoming, header};
 use tokio::net::TcpListener;
 
 use crate::{
+    core::hash,
     http::{self, Stop},
     platform::{Vm, VmList, VmState},
 };
@@ -38,9 +39,19 @@
 
     /// Serves the list over HTTP until the stop.
     pub async fn serve(self, listener: TcpListener, stop: Stop) {
-        let handler = move |_req| {
+        let handler = move |req: Request<Incoming>| {
             let vms = self.lock().clone();
-            async move { Ok(http::json(StatusCode::OK, &vms)) }
+            let etag = format!("\"{:x}\"", digest(&vms));
+            let known = req.headers().get(header::IF_NONE_MATCH);
+            let unchanged = known.is_some_and(|v| v.as_bytes() == etag.as_bytes());
+            let mut reply = match unchanged {
+                true => http::text(StatusCode::NOT_MODIFIED, ""),
+                false => http::json(StatusCode::OK, &vms),
+            };
+            if let Ok(value) = header::HeaderValue::from_str(&etag) {
+                reply.headers_mut().insert(header::ETAG, value);
+            }
+            async move { Ok(reply) }
         };
         http::serve(listener, handler, stop).await;
     }
@@ -50,6 +61,10 @@
     }
 }
 
+fn digest(vms: &[Vm]) -> u64 {
+    hash::stable(&[&serde_json::to_vec(vms).unwrap_or_default()])
+}
+
 impl VmList for FakeVmList {
     async fn vms(&self) -> Option<Vec<Vm>> {
         Some(self.lock().clone())
--- a/src/fleet/follower.rs
+++ b/src/fleet/follower.rs
@@ -27,7 +27,8 @@
 /// Stream of the configuration.
 pub const CONFIG_STREAM: &str = "config";
 
-const POLL_WAIT: Duration = Duration::from_secs(1);
+// A change ends the wait at once, so that its length costs no time.
+const POLL_WAIT: Duration = Duration::from_secs(2);
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 const PEER_LIMIT: Duration = Duration::from_millis(500);
 const PEERS_ASKED: usize = 2;
--- a/src/fleet/store.rs
+++ b/src/fleet/store.rs
@@ -10,7 +10,7 @@
 use crate::core::{
     config::{Fold, State, Verdict},
     ids::Offset,
-    placement::{Plan, static_plan},
+    placement::{self, Plan, static_plan},
 };
 
 // A process that could not confirm its revision for longer is not ready.
@@ -113,10 +113,8 @@
             if view.state.revision == state.revision {
                 return false;
             }
-            let placement_changed = view.state.items != state.items
-                || view.state.exceptions != state.exceptions
-                || view.state.defaults != state.defaults;
-            if placement_changed {
+            // The plan of a large fleet takes long to compute: only when its inputs changed.
+            if !placement::same_inputs(&view.state, state) {
                 view.plan = Arc::new(static_plan(state));
             }
             view.state = state.clone();
