--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -99,3 +99,17 @@
 fn help_text() {
     insta::assert_snapshot!(Goldcrestpitch::help());
 }
+
+#[test]
+fn shipped_configurations_are_accepted() {
+    for name in ["stundenwerk", "sapporo"] {
+        let file = format!("settings/{name}.ini");
+        let output = std::process::Command::new(env!("CARGO_BIN_EXE_goldcrestpitch"))
+            .args(["config", "check", &file])
+            .current_dir(env!("CARGO_MANIFEST_DIR"))
+            .output()
+            .unwrap();
+        let text = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{file}: {text}");
+    }
+}
