Read as a newcomer: one lookup of homes, smaller bed, unused names gone

After: VmWatch::home_of serves both, the bed is split into shape, place and bed, the gauge of running requests is set, the rest is removed.

--- a/src/agent/shared.rs
+++ b/src/agent/shared.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use metrics::gauge;
 use tokio::sync::{Notify, oneshot};
 
 use crate::{
@@ -21,6 +22,7 @@
     errors::{Code, Refusal},
     fleet::ConfigStore,
     http::Stop,
+    telemetry::names,
 };
 
 // Age up to which a probe lets an attempt be run.
@@ -170,6 +172,7 @@
                 }
             }
         }
+        gauge!(names::RUNNING).set(core.scheduler.running() as f64);
     }
 }
 
--- a/src/core/scheduling/scheduler.rs
+++ b/src/core/scheduling/scheduler.rs
@@ -228,16 +228,6 @@
         self.running.drain().map(|(a, r)| (a, r.fingerprint)).collect()
     }
 
-    /// Takes out waiting requests of one fingerprint.
-    pub fn drop_fingerprint(&mut self, fingerprint: u64) -> Vec<AttemptId> {
-        let queued = self.queue.drain_where(|(_, f)| *f == fingerprint);
-        let mut out: Vec<AttemptId> = queued.into_iter().map(|(a, _)| a).collect();
-        let alone = self.isolated.iter().filter(|(_, f, _)| *f == fingerprint);
-        out.extend(alone.map(|(a, _, _)| a.clone()));
-        self.isolated.retain(|(_, f, _)| *f != fingerprint);
-        out
-    }
-
     /// Takes out everything that waits, at the start of a graceful shutdown.
     pub fn drop_waiting(&mut self) -> Vec<AttemptId> {
         let queued = self.queue.drain_where(|_| true);
--- a/src/demo/bed.rs
+++ b/src/demo/bed.rs
@@ -3,11 +3,8 @@
 use std::{
     collections::BTreeMap,
     io,
-    net::{Ipv4Addr, SocketAddr},
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
+    net::SocketAddr,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -20,64 +17,17 @@
         ids::{Mib, Offset},
         routing,
     },
-    demo::Node,
+    demo::{
+        BedShape, Node, Site,
+        place::{agent_address, listen, next_bed, on_own_thread},
+    },
     entry::{self, EntryConfig},
-    fakes::{EngineTraits, FakeEngine, FakeLog, FakeService, FakeVmList, LogFaults, WeightStore},
+    fakes::{FakeEngine, FakeLog, FakeService, FakeVmList, WeightStore},
     fleet::{ChangeError, ConfigStore, submit},
-    http::{Stop, StopSignal, stop_channel},
+    http::{StopSignal, stop_channel},
     platform::{HttpBackend, HttpLog, HttpVmList, Vm, VmState},
 };
 
-/// Region and availability zone.
-#[derive(Clone, Debug)]
-pub struct Site {
-    /// The region.
-    pub region: String,
-    /// The availability zone.
-    pub zone: String,
-}
-
-impl Site {
-    /// The only zone of a region.
-    pub fn of(region: &str) -> Self {
-        Self { region: region.to_owned(), zone: format!("{region}-a") }
-    }
-}
-
-/// An engine of the bed.
-#[derive(Clone, Debug)]
-pub struct EngineSpec {
-    /// Name of the endpoint.
-    pub name: String,
-    /// Where it stands.
-    pub site: Site,
-    /// How it behaves.
-    pub traits: EngineTraits,
-}
-
-/// What the bed starts.
-#[derive(Clone, Debug, Default)]
-pub struct BedShape {
-    /// Entries with their sites.
-    pub entries: Vec<(String, Site)>,
-    /// Engines, each with an agent.
-    pub engines: Vec<EngineSpec>,
-    /// Instances of plain services: endpoint, service, site.
-    pub services: Vec<(String, String, Site)>,
-    /// Models with their weights.
-    pub models: Vec<(String, Mib)>,
-    /// Tenants.
-    pub tenants: Vec<String>,
-    /// Classes.
-    pub classes: Vec<String>,
-    /// Time that a call of a plain service takes.
-    pub service_takes: Duration,
-    /// Faults of the log.
-    pub log: LogFaults,
-    /// Seed of the stand-ins.
-    pub seed: u64,
-}
-
 /// An entry of the bed.
 #[derive(Debug)]
 pub struct EntryNode {
@@ -125,41 +75,6 @@
 const CHANGE_LIMIT: Duration = Duration::from_secs(5);
 const LOADS_AT_ONCE: usize = 7;
 
-static BEDS: AtomicU32 = AtomicU32::new(0);
-// Below the ports that the system gives to outgoing connections.
-const AGENT_PORT: u16 = 7000;
-
-/// An address that no other bed of this machine uses.
-fn agent_address(bed: u32, agent: usize) -> SocketAddr {
-    let process = std::process::id();
-    let host = Ipv4Addr::new(127, 16 + (process % 200) as u8, bed as u8, 1 + (agent % 250) as u8);
-    let port = AGENT_PORT + (process / 200 % 1000) as u16 * 8 + (agent / 250) as u16;
-    SocketAddr::from((host, port))
-}
-
-/// Serves an engine on a thread of its own, as it would run on a machine of its own.
-async fn on_own_thread(engine: FakeEngine, mut stop: Stop) -> io::Result<SocketAddr> {
-    let server_stop = stop.clone();
-    let start = move || async move {
-        let (listener, address) = listen().await?;
-        let server = tokio::spawn(engine.serve(listener, server_stop));
-        Ok((server, address))
-    };
-    let stop_server = |server: tokio::task::JoinHandle<()>| async move { server.abort() };
-    let (node, address) = Node::spawn("fake", start, stop_server).await?;
-    tokio::spawn(async move {
-        let _ = stop.wait_for(|s| *s).await;
-        node.kill().await;
-    });
-    Ok(address)
-}
-
-async fn listen() -> io::Result<(TcpListener, SocketAddr)> {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
-    let address = listener.local_addr()?;
-    Ok((listener, address))
-}
-
 impl Bed {
     /// Starts everything and waits until all entries are ready.
     ///
@@ -217,7 +132,7 @@
             self.backends.insert(endpoint.clone(), address);
         }
         // Agents keep their addresses over restarts, as the VMs they stand on do.
-        let bed = BEDS.fetch_add(1, Ordering::Relaxed);
+        let bed = next_bed();
         for (i, endpoint) in self.backends.keys().enumerate() {
             self.agent_addresses.insert(endpoint.clone(), agent_address(bed, i));
         }
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -126,13 +126,7 @@
 
     /// Address of the home of a key, unless it is this entry.
     fn remote_home(&self, key: &str) -> Option<SocketAddr> {
-        let entries = self.inner.vms.entries();
-        let number = partition_of(key).to_le_bytes();
-        let home = hash::rendezvous(&number, entries.iter().map(|(name, _)| &**name))?;
-        if home == &*self.inner.name {
-            return None;
-        }
-        entries.iter().find(|(name, _)| **name == *home).map(|(_, address)| *address)
+        self.inner.vms.home_of(partition_of(key), &self.inner.name)
     }
 
     async fn ask(&self, home: SocketAddr, request: ClaimRequest) -> Option<ClaimVerdict> {
--- a/src/entry/vetting.rs
+++ b/src/entry/vetting.rs
@@ -2,7 +2,6 @@
 //! a fingerprint is kept by one entry, found by rendezvous hashing.
 
 use std::{
-    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
 };
@@ -11,7 +10,6 @@
 
 use crate::{
     core::{
-        hash,
         ids::{AttemptId, EndpointId},
         quarantine::{Ended, Permit, Registry},
     },
@@ -88,7 +86,7 @@
     /// Asks whether an attempt may start; unrestricted when the registry does not answer.
     pub(super) async fn vet(&self, fingerprint: u64, attempt: &AttemptId) -> Permit {
         let request = VetRequest { fingerprint, attempt: attempt.to_string() };
-        let Some(home) = self.registry_of(fingerprint) else {
+        let Some(home) = self.vms.home_of(fingerprint, &self.name) else {
             return self.vetting.vet(&request).await.into();
         };
         count_bytes("vet", "sent", &request);
@@ -116,7 +114,7 @@
         };
         let me = self.clone();
         async move {
-            let Some(home) = me.registry_of(fingerprint) else {
+            let Some(home) = me.vms.home_of(fingerprint, &me.name) else {
                 return me.vetting.report(&request);
             };
             count_bytes("vet", "sent", &request);
@@ -125,17 +123,6 @@
             let _ = time::timeout(REPORT_LIMIT, client.report(request)).await;
         }
     }
-
-    /// The entry that keeps a fingerprint, unless it is this one.
-    fn registry_of(&self, fingerprint: u64) -> Option<SocketAddr> {
-        let entries = self.vms.entries();
-        let key = fingerprint.to_le_bytes();
-        let home = hash::rendezvous(&key, entries.iter().map(|(name, _)| &**name))?;
-        if home == &*self.name {
-            return None;
-        }
-        entries.iter().find(|(name, _)| **name == *home).map(|(_, address)| *address)
-    }
 }
 
 impl From<Permit> for VetReply {
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -91,7 +91,6 @@
     NotReady = 3005, 503, NotRun, "The process has no configuration yet.";
     StaleTicket = 3006, 503, NotRun, "The attempt names another incarnation of the agent or an expired probe.";
     Fenced = 3007, 503, NotRun, "The attempt was forbidden before it started.";
-    EndpointBusy = 3008, 503, NotRun, "The endpoint runs a request that must run alone.";
     EndpointFailed = 4001, 502, Unknown, "The endpoint failed while the request ran.";
     DeadlineExceeded = 4002, 504, Unknown, "The deadline passed while the request ran.";
     OutcomeUnknown = 4003, 409, Unknown, "An earlier request with this key may have run; it is not run again.";
--- a/src/fakes/engine.rs
+++ b/src/fakes/engine.rs
@@ -90,7 +90,6 @@
     loads: u64,
     unloads: u64,
     cancelled: u64,
-    slowdown: f64,
     cache: VecDeque<u64>,
     cache_hits: u64,
     cache_lookups: u64,
@@ -158,7 +157,6 @@
             loads: 0,
             unloads: 0,
             cancelled: 0,
-            slowdown: 1.0,
             cache: VecDeque::new(),
             cache_hits: 0,
             cache_lookups: 0,
@@ -206,11 +204,6 @@
         (inner.cache_hits, inner.cache_lookups)
     }
 
-    /// Makes all steps slower by a factor.
-    pub fn slow_down(&self, factor: f64) {
-        self.lock().slowdown = factor;
-    }
-
     /// Crashes the engine; it comes back without weights after its restart time.
     pub fn crash(&self) {
         let boot = {
@@ -321,7 +314,7 @@
 
     fn load_factor(&self) -> f64 {
         let inner = self.lock();
-        inner.slowdown * (1.0 + inner.running as f64 / self.traits.doubling_batch)
+        1.0 + inner.running as f64 / self.traits.doubling_batch
     }
 
     fn number(&self, number: Fencing) -> Result<Option<OrderResult>, BackendError> {
--- a/src/fleet/vms.rs
+++ b/src/fleet/vms.rs
@@ -5,7 +5,7 @@
 use tokio::{sync::watch, time};
 
 use crate::{
-    core::ids::EntryId,
+    core::{hash, ids::EntryId},
     http::Stop,
     platform::{Vm, VmList, VmState},
 };
@@ -27,6 +27,16 @@
         live.map(|vm| (vm.name.clone(), vm.address)).collect()
     }
 
+    /// Address of the entry that keeps a key, by rendezvous hashing; nothing when
+    /// that is `own` or no entry is listed.
+    pub fn home_of(&self, key: u64, own: &str) -> Option<SocketAddr> {
+        let entries = self.entries();
+        let names = entries.iter().map(|(name, _)| &**name);
+        let home = hash::rendezvous(&key.to_le_bytes(), names)?;
+        let (name, address) = entries.iter().find(|(name, _)| **name == *home)?;
+        (**name != *own).then_some(*address)
+    }
+
     /// Whether a VM is listed as leaving.
     pub fn is_leaving(&self, name: &str) -> bool {
         let list = self.list.borrow();
