Forget expired keys of a claim stream that is never read back

An agent whose shutdown began while a model was loading also still queued that request. Before: key_is_held_while_the_log_keeps_its_claim_and_forgotten_after fails with the reads taken out. After: a read every 64 appends; it passes, in virtual time.

--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -191,6 +191,10 @@
         // Who cannot start within the target is refused while there is time to ask elsewhere.
         let target = view.state.duration(Key::FirstTokenMs, &scope);
         let mut core = self.lock();
+        // The shutdown may have begun while the model was loaded.
+        if core.draining {
+            return Err(Refusal::new(Code::Draining, "the endpoint is leaving"));
+        }
         let isolated = core.watch.suspicion(req.fingerprint) == Suspicion::Suspect;
         let first_token = core.scheduler.mean_first_token() * START_MARGIN;
         // The first token of a resumed answer was sent before.
--- a/src/entry/partition.rs
+++ b/src/entry/partition.rs
@@ -26,6 +26,7 @@
 // Records that nobody waits for go with the next claim, or alone after this time.
 const TELL_LINGER: Duration = Duration::from_millis(500);
 const MAX_BATCH: usize = 256;
+const APPENDS_PER_READ: u32 = 64;
 // Positions in a claim stream count records and, within one, claims.
 const CLAIMS_PER_RECORD: Offset = 4096;
 const READ_BACK_LIMIT: Duration = Duration::from_millis(1500);
@@ -54,6 +55,7 @@
             book: Book::default(),
             next: 1,
             rate: TokenBucket::new(APPENDS_PER_SECOND, APPEND_BURST, Instant::now()),
+            unread: 0,
         };
         tokio::spawn(keeper.run(rx));
         Self { jobs }
@@ -90,6 +92,8 @@
     /// Offset of the next record to read.
     next: Offset,
     rate: TokenBucket,
+    /// Appends since the stream was last read.
+    unread: u32,
 }
 
 impl<L: Log> Keeper<L> {
@@ -111,6 +115,7 @@
             // With nothing between, the own records need not be read back.
             Ok(Some(offset)) if *offset == self.next => {
                 self.fold_all(*offset, records);
+                self.look_for_expiry().await;
                 true
             }
             Ok(Some(offset)) => self.read_to(*offset).await,
@@ -151,6 +156,17 @@
         self.log.append(&self.stream, payload).await
     }
 
+    /// Reads now and then although nothing is missing: a read tells which records
+    /// the log no longer keeps, and their keys are forgotten.
+    async fn look_for_expiry(&mut self) {
+        self.unread += 1;
+        if APPENDS_PER_READ <= self.unread {
+            self.unread = 0;
+            // A log that does not answer now is read another time.
+            let _ = self.read().await;
+        }
+    }
+
     /// Reads until the record at an offset is folded in.
     async fn read_to(&mut self, offset: Offset) -> bool {
         let until = Instant::now() + READ_BACK_LIMIT;
--- /dev/null
+++ b/tests/claims.rs
@@ -0,0 +1,69 @@
+//! The keeper of a claim stream against a log with limited retention, in virtual time.
+
+use goldcrestpitch::{
+    core::{
+        hash,
+        idempotency::{Claim, ClaimVerdict},
+    },
+    entry::{CLAIM_PARTITIONS, ClaimService},
+    fakes::{FakeLog, FakeVmList, LogFaults},
+    fleet::watch_vms,
+    http::stop_channel,
+    rpc::Channels,
+};
+
+fn claim(key: &str, attempt: usize) -> Claim {
+    Claim {
+        key: key.into(),
+        digest: 1,
+        attempt: format!("r{attempt}.1").into(),
+        entry: "e".into(),
+        agent: "a".into(),
+        incarnation: 1,
+        ticket_ms: 0,
+        supersedes: None,
+    }
+}
+
+/// Keys that fall into the partition of `first`.
+fn keys_beside(first: &str) -> impl Iterator<Item = String> {
+    let partition = |key: &str| hash::stable(&[key.as_bytes()]) % CLAIM_PARTITIONS;
+    let wanted = partition(first);
+    (0..).map(|i| format!("k{i}")).filter(move |k| partition(k) == wanted)
+}
+
+fn service(retention: usize) -> ClaimService<FakeLog> {
+    let (stop, stopped) = stop_channel();
+    // The signal has to outlive the service, or its tasks would hear of a stop.
+    std::mem::forget(stop);
+    let log = FakeLog::new(LogFaults { retention, rate_per_s: 1e6, ..LogFaults::default() }, 1);
+    let vms = watch_vms(FakeVmList::default(), stopped);
+    ClaimService::new("e".into(), log, vms, Channels::default())
+}
+
+#[tokio::test(start_paused = true)]
+async fn key_is_held_while_the_log_keeps_its_claim_and_forgotten_after() {
+    let service = service(100);
+    assert!(matches!(service.claim(claim("first", 0)).await, ClaimVerdict::Won(_)));
+    let mut keys = keys_beside("first");
+    for (attempt, key) in keys.by_ref().take(60).enumerate() {
+        let verdict = service.claim(claim(&key, attempt + 1)).await;
+        assert!(matches!(verdict, ClaimVerdict::Won(_)), "{key}: {verdict:?}");
+    }
+    let held = service.claim(claim("first", 900)).await;
+    assert!(matches!(held, ClaimVerdict::Held(_)), "{held:?}");
+    for (attempt, key) in keys.take(200).enumerate() {
+        service.claim(claim(&key, attempt + 100)).await;
+    }
+    // Without the reads between, the book would grow for ever.
+    let again = service.claim(claim("first", 901)).await;
+    assert!(matches!(again, ClaimVerdict::Won(_)), "{again:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn same_attempt_claimed_twice_wins_once() {
+    let service = service(1000);
+    let first = service.claim(claim("key", 1)).await;
+    assert_eq!(service.claim(claim("key", 1)).await, first);
+    assert!(matches!(service.claim(claim("key", 2)).await, ClaimVerdict::Held(_)));
+}
