One eviction loop, one description of a call's needs

Cause, found in reading the whole change: the loop that unloads resources until there is room stood twice in residency.rs, and what the choice of an endpoint needs to know of a call was written out twice in once.rs. Before: two copies of each.

--- a/src/agent/residency.rs
+++ b/src/agent/residency.rs
@@ -174,10 +174,16 @@
         if idle < missing {
             return false;
         }
+        self.unload_until(missing, victims);
+        true
+    }
+
+    /// Unloads resources in order until enough memory will be free.
+    fn unload_until(&mut self, missing: Mib, victims: Vec<(Resource, Mib)>) {
         let mut freed = 0;
         for (resource, size) in victims {
             if missing <= freed {
-                break;
+                return;
             }
             freed += size;
             if let Some(controller) = &mut self.controller {
@@ -185,7 +191,6 @@
             }
             self.yielding.remove(&resource);
         }
-        true
     }
 
     /// Idle resources that may be unloaded. The only planned replica of a model never is.
@@ -250,16 +255,8 @@
             Resource::Adapter { .. } => stale(r),
             Resource::KvCache => false,
         });
-        let mut freed = 0;
-        for (resource, size) in unplanned.collect::<Vec<_>>() {
-            if no_room.missing <= freed {
-                return;
-            }
-            freed += size;
-            if let Some(controller) = &mut self.controller {
-                controller.unload(&resource);
-            }
-        }
+        let unplanned = unplanned.collect();
+        self.unload_until(no_room.missing, unplanned);
     }
 
     /// Unloads versions that are no longer in force once the new one is loaded.
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -40,6 +40,19 @@
     fingerprint: u64,
 }
 
+impl Call<'_> {
+    /// What the choice of an endpoint needs to know of the call.
+    fn wanted<'a>(&'a self, exclude: &'a [EndpointId]) -> Wanted<'a> {
+        Wanted {
+            target: &self.target,
+            caller: self.caller,
+            affinity: self.fingerprint,
+            exclude,
+            only: None,
+        }
+    }
+}
+
 /// An answer with its body whole, as the first caller gets it.
 #[derive(Clone, Debug)]
 struct Whole {
@@ -164,14 +177,7 @@
     }
 
     async fn choose_once(&self, call: &Call<'_>, exclude: &[EndpointId]) -> Event {
-        let wanted = Wanted {
-            target: &call.target,
-            caller: call.caller,
-            affinity: call.fingerprint,
-            exclude,
-            only: None,
-        };
-        match self.choose(&wanted).await {
+        match self.choose(&call.wanted(exclude)).await {
             Ok((candidate, offer)) => Event::Chosen(Choice {
                 agent: candidate.endpoint,
                 incarnation: offer.incarnation,
@@ -290,14 +296,7 @@
         exclude: &mut Vec<EndpointId>,
     ) -> Result<Whole, Refusal> {
         loop {
-            let wanted = Wanted {
-                target: &call.target,
-                caller: call.caller,
-                affinity: call.fingerprint,
-                exclude,
-                only: None,
-            };
-            let (candidate, offer) = self.choose(&wanted).await?;
+            let (candidate, offer) = self.choose(&call.wanted(exclude)).await?;
             exclude.push(candidate.endpoint.clone());
             let attempt: AttemptId = format!("{}.0", self.request_id()).into();
             let claim = Claim {
