--- a/src/agent/crashes.rs
+++ b/src/agent/crashes.rs
@@ -6,14 +6,14 @@
 use metrics::counter;
 
 use crate::{
+    agent::Backend,
     agent::shared::Shared,
     core::{
         config::{Crash, Record},
         ids::AttemptId,
     },
     errors::{Code, Refusal},
-    fleet::CONFIG_STREAM,
-    platform::{Backend, Log},
+    fleet::{CONFIG_STREAM, Log},
     telemetry::names,
 };
 
--- a/src/platform/http_backend.rs
+++ b/src/agent/http_backend.rs
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    agent::{Backend, BackendError, EngineReport, ServiceReply, TokenStream},
     core::orders::{Fencing, Order, OrderResult},
     http::{Client, ClientError, SseParser},
-    platform::{Backend, BackendError, EngineReport, ServiceReply, TokenStream},
 };
 
 const REPORT_LIMIT: Duration = Duration::from_secs(1);
--- a/src/agent/orders.rs
+++ b/src/agent/orders.rs
@@ -6,12 +6,13 @@
 use metrics::counter;
 
 use crate::{
+    agent::Backend,
     agent::shared::Shared,
     core::{
         memory::Resource,
         orders::{Action, Event, Order, OrderResult},
     },
-    platform::{Backend, Log},
+    fleet::Log,
     telemetry::names,
     timers::Timers,
 };
--- a/src/agent/process.rs
+++ b/src/agent/process.rs
@@ -12,13 +12,13 @@
 
 use crate::{
     agent::{
+        Backend,
         rpc::AgentRpc,
         shared::{Identity, Shared},
     },
     core::ids::EndpointId,
-    fleet::{ConfigStore, Follower, watch_vms},
+    fleet::{ConfigStore, Follower, Log, VmList, watch_vms},
     http::{StopSignal, stop_channel},
-    platform::{Backend, Log, VmList},
     rpc::{Channels, pb::agent_server::AgentServer},
     timers::Timers,
 };
--- a/src/agent/rpc.rs
+++ b/src/agent/rpc.rs
@@ -7,10 +7,10 @@
 use tonic::{Request, Response, Status};
 
 use crate::{
-    agent::{run::Frames, shared::Shared},
+    agent::{Backend, run::Frames, shared::Shared},
     core::{idempotency::FenceState, memory::Residency, placement, scheduling::Estimate},
     errors::{Code, Refusal},
-    platform::{Backend, Log},
+    fleet::Log,
     rpc::pb::{
         DescribeReply, DescribeRequest, DrainReply, DrainRequest, FenceReply, FenceRequest,
         ProbeReply, ProbeRequest, RunFrame, RunRequest, agent_server,
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     agent::shared::Shared,
+    agent::{Backend, BackendError, TokenStream},
     core::{
         config::{Key, Record, Scope},
         idempotency::{Answer, NotAdmitted},
@@ -23,7 +24,7 @@
         scheduling::{Job, Suspicion},
     },
     errors::{Code, Refusal},
-    platform::{Backend, BackendError, Log, TokenStream},
+    fleet::Log,
     rpc::pb::{Done, Failed, Response, RunFrame, RunRequest, Started, Token, run_frame::Body},
     telemetry::names,
 };
@@ -308,14 +309,14 @@
     async fn whole_completion(
         &self,
         req: &RunRequest,
-    ) -> Result<crate::platform::ServiceReply, BackendError> {
+    ) -> Result<crate::agent::ServiceReply, BackendError> {
         let mut tokens = self.backend.complete(&req.path, req.body.clone()).await?;
         let mut text = Vec::new();
         while let Some(token) = tokens.next().await? {
             text.extend_from_slice(&token);
         }
         let body = Bytes::from(text);
-        Ok(crate::platform::ServiceReply { status: 200, content_type: TEXT.to_owned(), body })
+        Ok(crate::agent::ServiceReply { status: 200, content_type: TEXT.to_owned(), body })
     }
 
     async fn finish(
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -6,8 +6,7 @@
     cli::{EXIT_FAILED, EXIT_OK, EXIT_USAGE, flags::Config, inventory},
     core::config::{Action, Change, Fold, Item, ItemKind, Key, Record, Selector, State, Verdict},
     errors::{Code, Refusal},
-    fleet::{self, submit},
-    platform::{HttpLog, Log},
+    fleet::{self, HttpLog, Log, submit},
 };
 
 const CHANGE_LIMIT: Duration = Duration::from_secs(5);
--- a/src/cli/daemons.rs
+++ b/src/cli/daemons.rs
@@ -10,11 +10,12 @@
 
 use crate::{
     admin, agent,
+    agent::HttpBackend,
     cli::{EXIT_FAILED, EXIT_OK, settings},
     core::routing::Site,
     entry::{self, EntryConfig},
     errors::Code,
-    platform::{HttpBackend, HttpLog, HttpVmList},
+    fleet::{HttpLog, HttpVmList},
     settings::{AgentSettings, EntrySettings, Reader},
     telemetry::{self, Metrics},
 };
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -12,7 +12,7 @@
         placement::static_plan,
     },
     fleet,
-    platform::HttpLog,
+    fleet::HttpLog,
     rpc::{
         Channels,
         pb::{DescribeReply, DescribeRequest, agent_client::AgentClient},
--- a/src/demo/bed.rs
+++ b/src/demo/bed.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     agent,
+    agent::HttpBackend,
     core::{
         config::{Action, Change, Fold, Item, ItemKind, Selector},
         ids::{Mib, Offset},
@@ -23,9 +24,8 @@
     },
     entry::{self, EntryConfig},
     fakes::{FakeEngine, FakeLog, FakeService, FakeVmList, WeightStore},
-    fleet::{ChangeError, ConfigStore, submit},
+    fleet::{ChangeError, ConfigStore, HttpLog, HttpVmList, Vm, VmState, submit},
     http::{StopSignal, stop_channel},
-    platform::{HttpBackend, HttpLog, HttpVmList, Vm, VmState},
 };
 
 /// An entry of the bed.
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -19,8 +19,7 @@
         ids::EntryId,
     },
     entry::partition::Partition,
-    fleet::VmWatch,
-    platform::Log,
+    fleet::{Log, VmWatch},
     rpc::{
         Channels,
         pb::{
--- a/src/entry/completion.rs
+++ b/src/entry/completion.rs
@@ -20,8 +20,8 @@
         shared::{Shared, TenantGuard},
     },
     errors::{Code, Refusal},
+    fleet::Log,
     http::{self, Broken, Reply, ReplyBody, Sender},
-    platform::Log,
     telemetry::names,
 };
 
--- a/src/entry/driver.rs
+++ b/src/entry/driver.rs
@@ -24,7 +24,7 @@
     },
     entry::{caller::Caller, probe::Wanted, shared::Shared},
     errors::{Code, Outcome, Refusal},
-    platform::Log,
+    fleet::Log,
     rpc::pb::{
         RunFrame, RunRequest, agent_client::AgentClient, report_request::What, run_frame::Body,
     },
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -13,8 +13,8 @@
     core::config::{Item, ItemKind, Key},
     entry::{caller::Caller, completion::Kind, shared::Shared},
     errors::{Code, Refusal},
+    fleet::Log,
     http::{self, Reply},
-    platform::Log,
     telemetry::names,
 };
 
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -22,8 +22,8 @@
         caller::Caller, completion::Completion, driver::refusal, probe::Wanted, shared::Shared,
     },
     errors::{Code, Outcome, Refusal},
+    fleet::Log,
     http::{self, Reply, ReplyBody},
-    platform::Log,
     rpc::pb::{FenceRequest, RunRequest, agent_client::AgentClient, run_frame::Body},
     telemetry::names,
 };
--- a/src/entry/partition.rs
+++ b/src/entry/partition.rs
@@ -15,7 +15,7 @@
         ids::Offset,
         limits::TokenBucket,
     },
-    platform::{AppendError, Log, ReadError},
+    fleet::{AppendError, Log, ReadError},
 };
 
 // Claims that come within this time share an append.
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -7,7 +7,7 @@
 use crate::{
     core::idempotency::{Claim, ClaimRecord},
     entry::{probe::count_bytes, shared::Shared},
-    platform::Log,
+    fleet::Log,
     rpc::pb::{
         CatchupReply, CatchupRequest, ClaimReply, ClaimRequest, ReportReply, ReportRequest,
         SettleReply, SettleRequest, VetReply, VetRequest, peer_server,
--- a/src/entry/process.rs
+++ b/src/entry/process.rs
@@ -17,9 +17,8 @@
         routing::Site,
     },
     entry::{claims::ClaimService, peer::PeerRpc, shared::Shared},
-    fleet::{ConfigStore, Follower, watch_vms},
+    fleet::{ConfigStore, Follower, Log, VmList, watch_vms},
     http::{self, Stop, StopSignal, stop_channel},
-    platform::{Log, VmList},
     rpc::{Channels, pb::peer_server::PeerServer},
 };
 
--- a/src/entry/vetting.rs
+++ b/src/entry/vetting.rs
@@ -14,7 +14,7 @@
         quarantine::{Ended, Permit, Registry},
     },
     entry::{probe::count_bytes, shared::Shared},
-    platform::Log,
+    fleet::Log,
     rpc::pb::{
         ReportRequest, VetReply, VetRequest, peer_client::PeerClient, report_request::What,
         vet_reply,
--- a/src/fakes/engine.rs
+++ b/src/fakes/engine.rs
@@ -13,13 +13,13 @@
 };
 
 use crate::{
+    agent::{BackendError, EngineReport},
     core::{
         hash,
         ids::Mib,
         memory::Resource,
         orders::{EngineState, Fencing, Order, OrderResult, Role},
     },
-    platform::{BackendError, EngineReport},
 };
 
 /// How the engine behaves.
--- a/src/fakes/engine_http.rs
+++ b/src/fakes/engine_http.rs
@@ -9,10 +9,10 @@
 use tokio::net::TcpListener;
 
 use crate::{
+    agent::{BackendError, NumberedOrder},
     core::hash,
     fakes::FakeEngine,
     http::{self, Broken, Reply, ReplyBody, Sender, Stop},
-    platform::{BackendError, NumberedOrder},
 };
 
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
--- a/src/fakes/log.rs
+++ b/src/fakes/log.rs
@@ -12,8 +12,8 @@
 
 use crate::{
     core::{ids::Offset, limits::TokenBucket},
+    fleet::{AppendError, AppendReply, Log, LogRecord, Page, ReadError, ReadReply},
     http::{self, Reply, Stop},
-    platform::{AppendError, AppendReply, Log, LogRecord, Page, ReadError, ReadReply},
 };
 
 const MAX_RECORDS_PER_READ: usize = 1000;
--- a/src/fakes/vm_list.rs
+++ b/src/fakes/vm_list.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     core::hash,
+    fleet::{Vm, VmList, VmState},
     http::{self, Stop},
-    platform::{Vm, VmList, VmState},
 };
 
 /// The list; its clones are one list.
--- a/src/fleet/follower.rs
+++ b/src/fleet/follower.rs
@@ -15,9 +15,8 @@
         config::{Record, Snapshot, State, Verdict},
         ids::Offset,
     },
-    fleet::{ConfigStore, VmWatch, operator::snapshot_of},
+    fleet::{ConfigStore, Log, LogRecord, ReadError, VmWatch, operator::snapshot_of},
     http::Stop,
-    platform::{Log, LogRecord, ReadError},
     rpc::{
         Channels,
         pb::{CatchupRequest, peer_client::PeerClient},
--- a/src/platform/http_log.rs
+++ b/src/fleet/http_log.rs
@@ -8,8 +8,8 @@
 
 use crate::{
     core::ids::Offset,
+    fleet::{AppendError, Log, LogRecord, Page, ReadError},
     http::{Client, ClientError},
-    platform::{AppendError, Log, LogRecord, Page, ReadError},
 };
 
 const APPEND_LIMIT: Duration = Duration::from_millis(1500);
--- a/src/platform/http_vm_list.rs
+++ b/src/fleet/http_vm_list.rs
@@ -12,8 +12,8 @@
 use tokio::time;
 
 use crate::{
+    fleet::{Vm, VmList},
     http::Client,
-    platform::{Vm, VmList},
 };
 
 const READ_LIMIT: Duration = Duration::from_secs(2);
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,11 +1,19 @@
 //! What every process keeps of the fleet: configuration, plan, VM list.
 
 mod follower;
+mod http_log;
+mod http_vm_list;
+mod log;
 mod operator;
 mod store;
+mod vm_list;
 mod vms;
 
 pub use follower::{CONFIG_STREAM, Follower};
+pub use http_log::{AppendReply, HttpLog, ReadReply};
+pub use http_vm_list::HttpVmList;
+pub use log::{AppendError, Log, LogRecord, Page, ReadError};
 pub use operator::{ChangeError, read_all, read_records, submit};
 pub use store::{ConfigStore, View};
+pub use vm_list::{Vm, VmList, VmState};
 pub use vms::{VmWatch, watch_vms};
--- a/src/fleet/operator.rs
+++ b/src/fleet/operator.rs
@@ -11,8 +11,7 @@
         ids::Offset,
     },
     errors::{Code, Outcome, Refusal},
-    fleet::CONFIG_STREAM,
-    platform::{AppendError, Log, LogRecord, ReadError},
+    fleet::{AppendError, CONFIG_STREAM, Log, LogRecord, ReadError},
 };
 
 /// Why a change is not in force.
--- a/src/fleet/vms.rs
+++ b/src/fleet/vms.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     core::{hash, ids::EntryId},
+    fleet::{Vm, VmList, VmState},
     http::Stop,
-    platform::{Vm, VmList, VmState},
 };
 
 const POLL_EVERY: Duration = Duration::from_secs(1);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod fakes;
 pub mod fleet;
 pub mod http;
-pub mod platform;
 pub mod rpc;
 pub mod settings;
 pub mod telemetry;
--- a/tests/end_to_end/once.rs
+++ b/tests/end_to_end/once.rs
@@ -84,7 +84,7 @@
 }
 
 async fn settled(bed: &Bed) -> bool {
-    use goldcrestpitch::platform::Log;
+    use goldcrestpitch::fleet::Log;
     for partition in 0..goldcrestpitch::entry::CLAIM_PARTITIONS {
         let stream = format!("claims-{partition}");
         let page = bed.log.read(&stream, 1, Duration::ZERO).await.unwrap();
