--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -7,7 +7,7 @@
 //! slow endpoints (their measured pace counts).
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -17,7 +17,7 @@
         Endpoint, EndpointBook, EndpointLoad, Kind, Needs, Reported, Route, RouteTable, Service,
         ServiceName,
     },
-    ids::EndpointId,
+    ids::{EndpointId, ModelName},
 };
 
 /// One waiting or running request.
@@ -46,6 +46,13 @@
 const WAIT_SHARE_OF_DEADLINE: f64 = 0.45;
 /// Shortest delay that a refused caller is told.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// What a request may wait longer at an endpoint that has its adapter rather
+/// than have it loaded at another: the order, its way and the load.
+const ADAPTER_COST_MS: f64 = 120.0;
+/// The same while the adapter is being loaded for another request.
+const ADAPTER_COMING_MS: f64 = 40.0;
+/// An adapter that did not come in time is wanted anew, maybe elsewhere.
+const WANT_LIFETIME: Duration = Duration::from_millis(500);
 /// How long an endpoint whose connections failed is left alone.
 const AVOID_FOR: Duration = Duration::from_millis(1500);
 /// Prompt parts that are remembered per endpoint.
@@ -116,15 +123,15 @@
     answered: bool,
 }
 
-/// A model, or an adapter of it, that requests wait for.
+/// An adapter that an endpoint is to load, since requests wait for it there.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Wanted {
-    /// The service.
-    pub service: ServiceName,
-    /// The model.
-    pub model: Arc<str>,
-    /// An adapter of the model.
-    pub adapter: Option<Arc<str>>,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The model, which the endpoint holds.
+    pub model: ModelName,
+    /// The adapter.
+    pub adapter: Arc<str>,
 }
 
 /// Waiting and running requests of one process.
@@ -139,6 +146,9 @@
     loads: HashMap<EndpointId, EndpointLoad>,
     avoided: HashMap<EndpointId, Instant>,
     parts: HashMap<EndpointId, Vec<u64>>,
+    // When the load of an adapter was first wanted.
+    wanted: HashMap<Wanted, Instant>,
+    used: HashMap<EndpointId, HashSet<(ModelName, Arc<str>)>>,
     processes: usize,
 }
 
@@ -154,6 +164,8 @@
             loads: HashMap::new(),
             avoided: HashMap::new(),
             parts: HashMap::new(),
+            wanted: HashMap::new(),
+            used: HashMap::new(),
             processes: 1,
         }
     }
@@ -235,26 +247,28 @@
         self.waiting.len()
     }
 
-    /// What waiting requests need that no usable endpoint holds.
-    pub fn missing(&self, book: &EndpointBook) -> Vec<Wanted> {
-        let mut wanted = Vec::new();
+    /// Adapters that requests wait for, where they are to be loaded.
+    pub fn wanted(&self) -> impl Iterator<Item = &Wanted> {
+        self.wanted.keys()
+    }
+
+    /// Adapters that were used at an endpoint since the last call.
+    pub fn take_used(&mut self, endpoint: &str) -> Vec<(ModelName, Arc<str>)> {
+        let used = self.used.remove(endpoint).unwrap_or_default();
+        used.into_iter().collect()
+    }
+
+    /// Waiting requests by model, for models that no usable endpoint holds.
+    pub fn unserved(&self, book: &EndpointBook) -> HashMap<(ServiceName, ModelName), u32> {
+        let mut unserved = HashMap::new();
         for waiting in self.waiting.values() {
             let Some(model) = &waiting.needs.model else { continue };
-            let adapter = waiting.needs.adapter.as_deref();
-            let mut usable =
-                book.iter().filter(|e| e.is_usable() && e.registration.service == waiting.service);
-            if usable.any(|e| e.residency().holds(model, adapter)) {
-                continue;
+            let of_service = book.iter().filter(|e| e.registration.service == waiting.service);
+            if of_service.filter(|e| e.is_usable()).all(|e| !e.residency().holds(model, None)) {
+                *unserved.entry((waiting.service.clone(), model.clone())).or_default() += 1;
             }
-            wanted.push(Wanted {
-                service: waiting.service.clone(),
-                model: model.clone(),
-                adapter: waiting.needs.adapter.clone(),
-            });
         }
-        wanted.sort();
-        wanted.dedup();
-        wanted
+        unserved
     }
 
     /// Decides on all waiting requests, the most urgent first.
@@ -265,6 +279,7 @@
         book: &EndpointBook,
     ) -> Vec<(Ticket, Verdict)> {
         let mut verdicts = Vec::new();
+        self.wanted.retain(|_, since| now < *since + WANT_LIFETIME);
         let keys: Vec<(u8, Ticket)> = self.waiting.keys().copied().collect();
         for key in keys {
             let Some(waiting) = self.waiting.get(&key).cloned() else { continue };
@@ -291,7 +306,7 @@
         if let Some(why) = unknown_model(&service, &waiting.needs) {
             return Some(Verdict::Refuse(why, MIN_RETRY_AFTER));
         }
-        let mut best: Option<(f64, EndpointId)> = None;
+        let mut best: Option<(f64, EndpointId, Option<Wanted>)> = None;
         let mut usable = false;
         let mut resident = false;
         for endpoint in book.iter() {
@@ -305,12 +320,21 @@
             }
             resident = true;
             let Some(score) = self.score(now, &service, endpoint, &waiting.needs) else { continue };
-            if best.as_ref().is_none_or(|(least, _)| score < *least) {
-                best = Some((score, endpoint.id().clone()));
+            let lacking = lacking(endpoint, &waiting.needs);
+            let cost = lacking.as_ref().map_or(0.0, |w| match self.wanted.contains_key(w) {
+                true => ADAPTER_COMING_MS,
+                false => ADAPTER_COST_MS,
+            });
+            if best.as_ref().is_none_or(|(least, ..)| score + cost < *least) {
+                best = Some((score + cost, endpoint.id().clone(), lacking));
             }
         }
-        if let Some((_, endpoint)) = best {
-            return Some(Verdict::Send(endpoint));
+        match best {
+            Some((_, endpoint, None)) => return Some(Verdict::Send(endpoint)),
+            Some((_, _, Some(wanted))) => {
+                self.wanted.entry(wanted).or_insert(now);
+            }
+            None => {}
         }
         let why = match (usable, resident) {
             (false, _) => Why::NoEndpoint,
@@ -409,6 +433,9 @@
             answered: false,
         };
         self.running.insert(waiting.ticket, running);
+        if let Some(adapter) = needs.model.clone().zip(needs.adapter.clone()) {
+            self.used.entry(endpoint.clone()).or_default().insert(adapter);
+        }
         let kept = self.parts.entry(endpoint.clone()).or_default();
         for part in &needs.parts {
             let key = part_key(needs, part.id);
@@ -426,8 +453,17 @@
 const BASE_ANSWER: Duration = Duration::from_millis(60);
 
 fn holds(endpoint: &Endpoint, needs: &Needs) -> bool {
-    let Some(model) = &needs.model else { return true };
-    endpoint.residency().holds(model, needs.adapter.as_deref())
+    needs.model.as_ref().is_none_or(|model| endpoint.residency().holds(model, None))
+}
+
+/// The adapter that an endpoint lacks for a request.
+fn lacking(endpoint: &Endpoint, needs: &Needs) -> Option<Wanted> {
+    let (model, adapter) = needs.model.as_ref().zip(needs.adapter.as_ref())?;
+    if endpoint.residency().holds(model, Some(adapter)) {
+        return None;
+    }
+    let (model, adapter) = (model.clone(), adapter.clone());
+    Some(Wanted { endpoint: endpoint.id().clone(), model, adapter })
 }
 
 fn unknown_model(service: &Service, needs: &Needs) -> Option<Why> {
--- a/src/core/residency/desk.rs
+++ b/src/core/residency/desk.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::core::{
-    forwarding::{EndpointState, EngineSpec},
+    forwarding::{EndpointState, EngineSpec, HeldModel},
     ids::{Mib, ModelName},
     residency::{EngineOrder, EngineView, Operation, OrderAnswer},
 };
@@ -134,6 +134,21 @@
         self.wanted.insert((model, Some(adapter)), now);
     }
 
+    /// Memory that weights and adapters take; all of it while that is not known.
+    pub fn taken(&self, view: &EngineView) -> Mib {
+        let known = self.spec.as_ref().map(|s| s.weights - self.free(s, view).min(s.weights));
+        known.unwrap_or(Mib::MAX)
+    }
+
+    /// Models that the engine holds and is not to give up.
+    pub fn staying(&self, view: &EngineView) -> Vec<HeldModel> {
+        let leaves = |model: &ModelName| {
+            let wish = self.wishes.get(&(model.clone(), None));
+            wish.is_some_and(|w| w.operation == Operation::Unload)
+        };
+        view.residency.held.iter().filter(|m| !leaves(&m.name)).cloned().collect()
+    }
+
     /// The engine reported. Returns whether what it holds has changed.
     pub fn report(&mut self, now: Instant, view: EngineView) -> bool {
         self.wishes.retain(|_, w| now < w.until);
--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -190,7 +190,9 @@
         let new = !state.gateways.contains_key(&from);
         let gateway = state.gateways.entry(from).or_insert(Gateway { at: now, plans: None });
         gateway.at = now;
-        gateway.plans = hello.plans.then_some(now);
+        if hello.plans {
+            gateway.plans = Some(now);
+        }
         let planner = planner(&state.gateways, now);
         for wish in &hello.wishes {
             let source = match wish.adapter.is_empty() {
@@ -200,6 +202,9 @@
             };
             take_wish(&mut state.desk, now, source, wish);
         }
+        for (model, adapter) in hello.used.iter().filter_map(|u| u.split_once('/')) {
+            state.desk.used(now, model.into(), adapter.into());
+        }
         if new {
             info!("event=gateway_heard at={from}");
             self.tell(&mut state, now, Some(from));
@@ -223,7 +228,7 @@
         let message = State {
             engine: self.config.engine.to_string(),
             number: state.number,
-            held: view.residency.held.iter().map(Held::from).collect(),
+            held: state.desk.staying(&view).iter().map(Held::from).collect(),
             at_hand: view.residency.at_hand.iter().map(ToString::to_string).collect(),
             busy: view.residency.busy,
             active: view.reported.active,
@@ -235,6 +240,8 @@
             gateways: gateways.iter().map(ToString::to_string).collect(),
             loading: state.desk.loading().map(ToString::to_string).unwrap_or_default(),
             started: self.started,
+            taken: state.desk.taken(&view),
+            able: state.desk.is_able(),
         };
         for address in gateways.iter().filter(|a| only.is_none_or(|o| **a == o)) {
             self.socket.send(*address, Body::State(message.clone()));
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -78,6 +78,8 @@
     pub(super) asked: Notify,
     // Something that peers and agents should hear of soon.
     pub(super) urgent: Notify,
+    // Requests wait for an adapter that an agent is to load.
+    pub(super) wanted: Notify,
 }
 
 impl Hub {
@@ -102,6 +104,7 @@
             pool: Pool::default(),
             asked: Notify::new(),
             urgent: Notify::new(),
+            wanted: Notify::new(),
         })
     }
 
@@ -187,6 +190,7 @@
             return;
         }
         let Some(table) = state.table.clone() else { return };
+        let wanted = state.dispatcher.wanted().count();
         for (ticket, verdict) in state.dispatcher.poll(now, &table, &state.book) {
             let placement = match verdict {
                 Verdict::Refuse(why, delay) => Placement::Refused(why, delay),
@@ -200,6 +204,9 @@
                 let _ = tx.send(placement);
             }
         }
+        if wanted < state.dispatcher.wanted().count() {
+            self.wanted.notify_one();
+        }
         gauge!(names::WAITING).set(state.dispatcher.waiting() as f64);
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod forward;
 mod hub;
 mod peers;
+mod planner;
 mod process;
 mod relay;
 mod upstream;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,11 +13,14 @@
 
 use crate::{
     core::{
-        forwarding::{EndpointState, Place},
+        forwarding::{Place, Wanted},
         ids::EndpointId,
     },
-    gateway::hub::Hub,
-    gossip::{Body, Hello, Peer, Socket, State, Suspicion, Wish, WishKind},
+    gateway::{
+        hub::{self, Hub},
+        planner::{self, AgentFacts, Planner},
+    },
+    gossip::{Body, Demand, Hello, Peer, Socket, State, Suspicion, Wish, WishKind},
     telemetry::names,
 };
 
@@ -36,20 +39,22 @@
 #[derive(Debug, Default)]
 struct Known {
     gateways: HashMap<SocketAddr, Heard>,
-    agents: HashMap<EndpointId, (Instant, u64, u64)>,
+    agents: HashMap<EndpointId, AgentFacts>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Heard {
     at: Option<Instant>,
     // Where the address came from may be stale; it is not asked for ever.
     named: Instant,
     serving: bool,
+    demand: Vec<Demand>,
 }
 
 /// Sends and receives until the process ends.
 pub(super) async fn run(hub: Arc<Hub>, socket: Socket, own: SocketAddr, seeds: Vec<IpAddr>) {
     let mut known = Known::default();
+    let mut planner = Planner::default();
     let now = Instant::now();
     for seed in seeds {
         known.name(now, own, SocketAddr::new(seed, own.port()));
@@ -60,9 +65,11 @@
         tokio::select! {
             _ = ticks.tick() => {
                 known.expire(&hub);
-                send_all(&hub, &socket, &known, own);
+                known.tell_peers(&hub, &socket, own);
+                known.tell_agents(&hub, &socket, own, &mut planner);
             }
-            () = hub.urgent.notified() => send_all(&hub, &socket, &known, own),
+            () = hub.urgent.notified() => known.tell_peers(&hub, &socket, own),
+            () = hub.wanted.notified() => tell_wanted(&hub, &socket, own),
             received = socket.receive() => {
                 if let Ok((from, body)) = received {
                     known.receive(&hub, own, from, body);
@@ -75,8 +82,8 @@
 impl Known {
     fn name(&mut self, now: Instant, own: SocketAddr, address: SocketAddr) {
         if address != own {
-            let new = Heard { at: None, named: now, serving: false };
-            self.gateways.entry(address).or_insert(new).named = now;
+            let new = || Heard { at: None, named: now, serving: false, demand: Vec::new() };
+            self.gateways.entry(address).or_insert_with(new).named = now;
         }
     }
 
@@ -88,6 +95,7 @@
                 if let Some(heard) = self.gateways.get_mut(&from) {
                     heard.at = Some(now);
                     heard.serving = peer.serving;
+                    heard.demand = peer.demand;
                 }
                 self.named(now, own, &peer.gateways);
                 let mut state = hub.lock();
@@ -113,14 +121,16 @@
         let Ok(address) = told.engine.parse() else { return };
         let mut state = hub.lock();
         let Some(id) = state.book.at(address).map(|e| e.id().clone()) else { return };
-        let last = self.agents.get(&id).map(|(_, started, number)| (*started, *number));
-        if last.is_some_and(|last| (told.started, told.number) <= last) {
+        let number = (told.started, told.number);
+        let last = self.agents.get(&id).map(|f| f.number);
+        if last.is_some_and(|last| number <= last) {
             return;
         }
         if last.is_none() {
             info!("event=agent_heard endpoint={id}");
         }
-        self.agents.insert(id.clone(), (now, told.started, told.number));
+        let facts = AgentFacts { at: now, number, taken: told.taken, able: told.able };
+        self.agents.insert(id.clone(), facts);
         state.book.set_told(&id, Some(told.residency()));
         state.dispatcher.reported(now, &id, told.reported());
         if told.draining {
@@ -140,7 +150,7 @@
         let silent: Vec<EndpointId> = self
             .agents
             .iter()
-            .filter(|(_, (at, ..))| *at + SILENT_AFTER < now)
+            .filter(|(_, facts)| facts.at + SILENT_AFTER < now)
             .map(|(id, _)| id.clone())
             .collect();
         for id in silent {
@@ -155,66 +165,90 @@
         gauge!(names::GATEWAYS).set(live as f64);
     }
 
-    fn live(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+    fn live(&self, now: Instant) -> impl Iterator<Item = (&SocketAddr, &Heard)> {
         let heard = move |h: &Heard| h.at.is_some_and(|at| now < at + SILENT_AFTER);
-        self.gateways.iter().filter(move |(_, h)| heard(h)).map(|(address, _)| *address)
+        self.gateways.iter().filter(move |(_, h)| heard(h))
+    }
+
+    /// The gateway with the lowest address among those that serve plans for all.
+    fn plans(&self, now: Instant, own: SocketAddr, serving: bool) -> bool {
+        serving && self.live(now).filter(|(_, h)| h.serving).all(|(address, _)| own < *address)
+    }
+
+    fn tell_peers(&self, hub: &Hub, socket: &Socket, own: SocketAddr) {
+        let now = Instant::now();
+        let serving = hub.is_ready();
+        let (suspicions, demand) = {
+            let state = hub.lock();
+            let recent = now.checked_sub(TELL_SUSPICIONS_FOR).unwrap_or(now);
+            let told = state.suspects.since(recent).take(MAX_SUSPICIONS);
+            let told = told.map(|(fingerprint, breaks)| Suspicion { fingerprint, breaks });
+            (told.collect(), planner::own_demand(now, &state))
+        };
+        let live = self.live(now).map(|(address, _)| *address);
+        let gateways = live.chain([own]).take(MAX_NAMED).map(|a| a.to_string()).collect();
+        let peer = Peer { serving, demand, suspicions, gateways };
+        for address in self.gateways.keys() {
+            socket.send(*address, Body::Peer(peer.clone()));
+        }
+    }
+
+    fn tell_agents(&self, hub: &Hub, socket: &Socket, own: SocketAddr, planner: &mut Planner) {
+        let now = Instant::now();
+        let serving = hub.is_ready();
+        let plans = self.plans(now, own, serving);
+        let mut state = hub.lock();
+        let theirs = self.live(now).flat_map(|(_, h)| h.demand.iter().cloned());
+        let demand: Vec<Demand> = theirs.chain(planner::own_demand(now, &state)).collect();
+        let planned = planner.run(now, &state, &self.agents, &demand, plans);
+        let mut wishes: HashMap<EndpointId, Vec<Wish>> = HashMap::new();
+        for wish in &planned {
+            wishes.entry(wish.engine.clone()).or_default().extend(planner::wishes_of(wish));
+        }
+        for wanted in state.dispatcher.wanted() {
+            wishes.entry(wanted.endpoint.clone()).or_default().push(adapter_wish(wanted));
+        }
+        for (id, address) in agents(&state, own) {
+            let wishes = wishes.remove(&id).unwrap_or_default();
+            let used = state.dispatcher.take_used(&id);
+            let used = used.iter().map(|(m, a)| format!("{m}/{a}")).collect();
+            socket.send(address, Body::Hello(Hello { serving, plans, wishes, used }));
+        }
     }
 }
 
-fn send_all(hub: &Hub, socket: &Socket, known: &Known, own: SocketAddr) {
-    let now = Instant::now();
+/// Agents are on the VMs of their engines and listen at the same port as gateways.
+fn agents(state: &hub::State, own: SocketAddr) -> Vec<(EndpointId, SocketAddr)> {
+    let engines = state.book.iter().filter(|e| {
+        let service = state.table.as_ref().and_then(|t| t.service(&e.registration.service));
+        service.is_some_and(|s| s.engine.is_some())
+    });
+    let address = |ip| SocketAddr::new(ip, own.port());
+    engines.map(|e| (e.id().clone(), address(e.registration.address.ip()))).collect()
+}
+
+/// Tells the agents concerned which adapters requests wait for.
+fn tell_wanted(hub: &Hub, socket: &Socket, own: SocketAddr) {
     let serving = hub.is_ready();
-    let (suspicions, agents, wishes) = {
-        let state = hub.lock();
-        let recent = now.checked_sub(TELL_SUSPICIONS_FOR).unwrap_or(now);
-        let told = state.suspects.since(recent).take(MAX_SUSPICIONS);
-        let suspicions: Vec<_> =
-            told.map(|(fingerprint, breaks)| Suspicion { fingerprint, breaks }).collect();
-        let engines = state.book.iter().filter(|e| {
-            let service = state.table.as_ref().and_then(|t| t.service(&e.registration.service));
-            service.is_some_and(|s| s.engine.is_some())
-                && e.registration.state == EndpointState::Ready
-        });
-        let agents: Vec<SocketAddr> =
-            engines.map(|e| SocketAddr::new(e.registration.address.ip(), own.port())).collect();
-        (suspicions, agents, adapter_wishes(&state))
-    };
-    let gateways: Vec<String> =
-        known.live(now).chain([own]).take(MAX_NAMED).map(|a| a.to_string()).collect();
-    let peer = Peer { serving, demand: Vec::new(), suspicions, gateways };
-    for address in known.gateways.keys() {
-        socket.send(*address, Body::Peer(peer.clone()));
+    let state = hub.lock();
+    let mut wishes: HashMap<IpAddr, Vec<Wish>> = HashMap::new();
+    for wanted in state.dispatcher.wanted() {
+        let Some(endpoint) = state.book.get(&wanted.endpoint) else { continue };
+        let ip = endpoint.registration.address.ip();
+        wishes.entry(ip).or_default().push(adapter_wish(wanted));
     }
-    for address in agents {
-        let wishes = wishes.get(&address.ip()).cloned().unwrap_or_default();
-        socket.send(address, Body::Hello(Hello { serving, plans: false, wishes }));
+    for (ip, wishes) in wishes {
+        let hello = Hello { serving, plans: false, wishes, used: Vec::new() };
+        socket.send(SocketAddr::new(ip, own.port()), Body::Hello(hello));
     }
 }
 
-/// Adapters that waiting requests need, at an engine that holds their model.
-fn adapter_wishes(state: &crate::gateway::hub::State) -> HashMap<IpAddr, Vec<Wish>> {
-    let mut wishes: HashMap<IpAddr, Vec<Wish>> = HashMap::new();
-    for wanted in state.dispatcher.missing(&state.book) {
-        let Some(adapter) = &wanted.adapter else { continue };
-        let of_service = state.book.iter().filter(|e| {
-            e.is_usable()
-                && e.registration.service == wanted.service
-                && e.residency().holds(&wanted.model, None)
-        });
-        let now = Instant::now();
-        let best = of_service.min_by_key(|e| {
-            let load = state.dispatcher.load(e.id());
-            (load.all_unread(now), load.all_running(now), e.id().clone())
-        });
-        let Some(best) = best else { continue };
-        let wish = Wish {
-            kind: WishKind::Load.into(),
-            model: wanted.model.to_string(),
-            adapter: adapter.to_string(),
-        };
-        wishes.entry(best.registration.address.ip()).or_default().push(wish);
+fn adapter_wish(wanted: &Wanted) -> Wish {
+    Wish {
+        kind: WishKind::Load.into(),
+        model: wanted.model.to_string(),
+        adapter: wanted.adapter.to_string(),
     }
-    wishes
 }
 
 /// The place of a process from its settings.
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -38,6 +38,9 @@
     /// What it wishes.
     #[prost(message, repeated, tag = "3")]
     pub wishes: Vec<Wish>,
+    /// Adapters that its requests used at the engine lately, as MODEL/ADAPTER.
+    #[prost(string, repeated, tag = "4")]
+    pub used: Vec<String>,
 }
 
 /// What an engine is to hold or to give up.
@@ -120,6 +123,12 @@
     /// Unix milliseconds of the agent's start, by its own clock.
     #[prost(uint64, tag = "14")]
     pub started: u64,
+    /// Memory that weights and adapters take, mebibytes.
+    #[prost(uint64, tag = "15")]
+    pub taken: u64,
+    /// The agent can give orders.
+    #[prost(bool, tag = "16")]
+    pub able: bool,
 }
 
 impl State {
