--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -6,7 +6,8 @@
     cli::{EXIT_FAILED, EXIT_OK, EXIT_USAGE, flags::Config, inventory},
     core::config::{Action, Change, Fold, Item, ItemKind, Key, Record, Selector, State, Verdict},
     errors::{Code, Refusal},
-    fleet::{self, HttpLog, Log, submit},
+    fleet::{self, Log, submit},
+    platform::Store,
 };
 
 const CHANGE_LIMIT: Duration = Duration::from_secs(5);
@@ -59,10 +60,10 @@
 }
 
 /// The log of the arguments and all that it holds, folded.
-async fn read(args: &Config) -> Result<(HttpLog, Fold), Refusal> {
+async fn read(args: &Config) -> Result<(Store, Fold), Refusal> {
     let missing = || Refusal::new(Code::MissingSetting, "the command needs --log ADDRESS");
     let address: SocketAddr = args.log.ok_or_else(missing)?;
-    let log = HttpLog::new(address);
+    let log = Store::new(address);
     let fold = fleet::read_all(&log).await?;
     Ok((log, fold))
 }
@@ -128,12 +129,7 @@
     Ok(())
 }
 
-async fn send(
-    args: &Config,
-    log: &HttpLog,
-    fold: &mut Fold,
-    action: Action,
-) -> Result<u64, Refusal> {
+async fn send(args: &Config, log: &Store, fold: &mut Fold, action: Action) -> Result<u64, Refusal> {
     let current = fold.state().path_revision(&action.path());
     let change = Change {
         id: format!("{:016x}", fastrand::u64(..)),
@@ -161,7 +157,7 @@
 
 async fn history(args: &Config) -> Result<(), Refusal> {
     let missing = || Refusal::new(Code::MissingSetting, "the command needs --log ADDRESS");
-    let log = HttpLog::new(args.log.ok_or_else(missing)?);
+    let log = Store::new(args.log.ok_or_else(missing)?);
     let records = fleet::read_records(&log).await?;
     let mut fold = Fold::default();
     for record in records {
--- a/src/cli/daemons.rs
+++ b/src/cli/daemons.rs
@@ -15,7 +15,8 @@
     core::routing::Site,
     entry::{self, EntryConfig},
     errors::Code,
-    fleet::{HttpLog, HttpVmList},
+    fleet::HttpVmList,
+    platform::Store,
     settings::{AgentSettings, EntrySettings, Reader},
     telemetry::{self, Metrics},
 };
@@ -50,7 +51,7 @@
         drain_notice: settings.drain_notice,
     };
     let metrics = Metrics::install();
-    let log = HttpLog::new(settings.log);
+    let log = Store::new(settings.log);
     let vms = HttpVmList::new(settings.vm_list);
     let process = entry::start(config, callers, peers, log, vms)?;
     let admin = admin::start(admin, metrics, process.store().clone());
@@ -69,7 +70,7 @@
         settings.endpoint.as_str().into(),
         listener,
         HttpBackend::new(settings.backend),
-        HttpLog::new(settings.log),
+        Store::new(settings.log),
         HttpVmList::new(settings.vm_list),
     )?;
     let admin = admin::start(admin, metrics, process.store().clone());
--- a/src/cli/status.rs
+++ b/src/cli/status.rs
@@ -12,7 +12,7 @@
         placement::static_plan,
     },
     fleet,
-    fleet::HttpLog,
+    platform::Store,
     rpc::{
         Channels,
         pb::{DescribeReply, DescribeRequest, agent_client::AgentClient},
@@ -23,7 +23,7 @@
 
 /// Asks every agent and compares with the plan.
 pub(super) async fn run(log: SocketAddr) -> u8 {
-    let fold = match fleet::read_all(&HttpLog::new(log)).await {
+    let fold = match fleet::read_all(&Store::new(log)).await {
         Ok(fold) => fold,
         Err(refusal) => {
             eprintln!("{refusal}");
--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -55,6 +55,8 @@
 const WANT_LIFETIME: Duration = Duration::from_millis(500);
 /// How long an endpoint whose connections failed is left alone.
 const AVOID_FOR: Duration = Duration::from_millis(1500);
+/// An endpoint that is left alone is chosen only before one that is full.
+const AVOIDED_COST_MS: f64 = 10_000.0;
 /// Prompt parts that are remembered per endpoint.
 const MAX_PARTS: usize = 512;
 
@@ -315,12 +317,12 @@
                 continue;
             }
             usable = true;
-            if !holds(endpoint, &waiting.needs) {
+            if service.engine.is_some() && !holds(endpoint, &waiting.needs) {
                 continue;
             }
             resident = true;
             let Some(score) = self.score(now, &service, endpoint, &waiting.needs) else { continue };
-            let lacking = lacking(endpoint, &waiting.needs);
+            let lacking = service.engine.as_ref().and_then(|_| lacking(endpoint, &waiting.needs));
             let cost = lacking.as_ref().map_or(0.0, |w| match self.wanted.contains_key(w) {
                 true => ADAPTER_COMING_MS,
                 false => ADAPTER_COST_MS,
@@ -375,15 +377,14 @@
         endpoint: &Endpoint,
         needs: &Needs,
     ) -> Option<f64> {
-        if self.avoided.get(endpoint.id()).is_some_and(|until| now < *until) {
-            return None;
-        }
+        let avoided = self.avoided.get(endpoint.id()).is_some_and(|until| now < *until);
         let load = self.load(endpoint.id());
         let connections = (service.max_connections / self.processes).max(1);
         if connections <= load.running() as usize {
             return None;
         }
-        let near = self.place.cost_ms(&endpoint.registration.zone);
+        let avoided = if avoided { AVOIDED_COST_MS } else { 0.0 };
+        let near = avoided + self.place.cost_ms(&endpoint.registration.zone);
         let jitter = self.rng.f64() * JITTER_MS;
         let Some(engine) = &service.engine else {
             let slots = endpoint.registration.slots.max(1);
--- a/src/core/forwarding/endpoints.rs
+++ b/src/core/forwarding/endpoints.rs
@@ -1,7 +1,7 @@
 //! Endpoints as they register themselves, and which of them may be used.
 
 use std::{
-    collections::HashMap,
+    collections::BTreeMap,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -134,7 +134,8 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct EndpointBook {
-    all: HashMap<EndpointId, Endpoint>,
+    // In the order of ids, so that equal endpoints are met in the same order.
+    all: BTreeMap<EndpointId, Endpoint>,
 }
 
 impl EndpointBook {
--- a/src/core/forwarding/mod.rs
+++ b/src/core/forwarding/mod.rs
@@ -2,6 +2,7 @@
 
 mod dispatcher;
 mod endpoints;
+mod events;
 mod load;
 mod request;
 mod retry_budget;
@@ -12,6 +13,7 @@
 pub use endpoints::{
     Change, Endpoint, EndpointBook, EndpointState, HeldModel, LAPSE_GRACE, Registration, Residency,
 };
+pub use events::{Disorder, StreamEvents};
 pub use load::{EndpointLoad, Reported};
 pub use request::{Needs, PromptPart};
 pub use retry_budget::RetryBudget;
--- a/src/demo/bed.rs
+++ b/src/demo/bed.rs
@@ -24,8 +24,9 @@
     },
     entry::{self, EntryConfig},
     fakes::{FakeEngine, FakeLog, FakeService, FakeVmList, WeightStore},
-    fleet::{ChangeError, ConfigStore, HttpLog, HttpVmList, Vm, VmState, submit},
+    fleet::{ChangeError, ConfigStore, HttpVmList, Vm, VmState, submit},
     http::{StopSignal, stop_channel},
+    platform::Store,
 };
 
 /// An entry of the bed.
@@ -223,13 +224,13 @@
                 name.as_str().into(),
                 listener,
                 HttpBackend::new(backend),
-                HttpLog::new(log),
+                Store::new(log),
                 HttpVmList::new(vms),
             )?;
             let store = process.store().clone();
             Ok((process, store))
         };
-        let stop = |process: agent::AgentProcess<HttpBackend, HttpLog>| process.stop();
+        let stop = |process: agent::AgentProcess<HttpBackend, Store>| process.stop();
         let (node, store) = Node::spawn(endpoint, start, stop).await?;
         self.vms.put(vm(endpoint, address, false));
         self.agents.insert(endpoint.to_owned(), AgentNode { node, store });
@@ -250,12 +251,12 @@
         let start = move || async move {
             let (callers, address) = listen().await?;
             let (peers, peer) = listen().await?;
-            let (log, vms) = (HttpLog::new(log), HttpVmList::new(vms));
+            let (log, vms) = (Store::new(log), HttpVmList::new(vms));
             let process = entry::start(config, callers, peers, log, vms)?;
             let store = process.store().clone();
             Ok((process, (address, peer, store)))
         };
-        let stop = |process: entry::EntryProcess<HttpLog>| process.stop();
+        let stop = |process: entry::EntryProcess<Store>| process.stop();
         let (node, (address, peer, store)) = Node::spawn(name, start, stop).await?;
         self.vms.put(vm(name, peer, true));
         self.entries.insert(name.to_owned(), EntryNode { node, address, store });
--- a/src/fakes/log.rs
+++ b/src/fakes/log.rs
@@ -6,18 +6,19 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use hyper::{Method, Request, StatusCode, body::Incoming};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use hyper::{Request, StatusCode, body::Incoming};
 use tokio::{net::TcpListener, sync::Notify, time};
 
 use crate::{
     core::{ids::Offset, limits::TokenBucket},
-    fleet::{AppendError, AppendReply, Log, LogRecord, Page, ReadError, ReadReply},
-    http::{self, Reply, Stop},
+    fleet::{AppendError, Log, LogRecord, Page, ReadError},
+    http::{self, Broken, Reply, Stop},
 };
 
 const MAX_RECORDS_PER_READ: usize = 1000;
 const MAX_RECORD_BYTES: usize = 4 * 1024 * 1024;
+const LENGTH_BYTES: usize = 4;
 
 /// Faults of the log.
 #[derive(Clone, Copy, Debug)]
@@ -115,7 +116,7 @@
     pub async fn serve(self, listener: TcpListener, stop: Stop) {
         let handler = move |req| {
             let log = self.clone();
-            async move { Ok(log.handle(req).await) }
+            async move { log.handle(req).await }
         };
         http::serve(listener, handler, stop).await;
     }
@@ -124,34 +125,99 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn handle(&self, req: Request<Incoming>) -> Reply {
+    /// The newest record of each key of a topic, with their offsets from 0.
+    fn newest(&self, topic: &str) -> Result<(Vec<(String, Bytes, u64)>, u64), ReadError> {
+        let inner = self.lock();
+        if inner.faults.outage {
+            return Err(ReadError::Unavailable("outage".to_owned()));
+        }
+        let Some(stream) = inner.streams.get(topic) else { return Ok((Vec::new(), 0)) };
+        let mut newest = std::collections::BTreeMap::new();
+        for (i, record) in stream.records.iter().enumerate() {
+            let offset = stream.first.max(1) - 1 + i as u64;
+            let Some((length, rest)) = record.split_first() else { continue };
+            let (key, value) = rest.split_at(usize::from(*length).min(rest.len()));
+            let key = String::from_utf8_lossy(key).into_owned();
+            if value.is_empty() {
+                newest.remove(&key);
+            } else {
+                newest.insert(key, (record.slice_ref(value), offset));
+            }
+        }
+        let items = newest.into_iter().map(|(key, (value, offset))| (key, value, offset));
+        Ok((items.collect(), stream.end() - 1))
+    }
+
+    /// Forgets the records of a topic before its end.
+    pub fn compact(&self, topic: &str) {
+        let mut inner = self.lock();
+        if let Some(stream) = inner.streams.get_mut(topic) {
+            stream.first = stream.end();
+            stream.records.clear();
+        }
+    }
+
+    async fn handle(&self, req: Request<Incoming>) -> Result<Reply, Broken> {
         let path = req.uri().path().to_owned();
-        let Some(stream) = path.strip_prefix("/streams/") else {
-            return http::text(StatusCode::NOT_FOUND, "no such path");
+        let query = req.uri().query().unwrap_or("").to_owned();
+        let topic = text(&query, "Topic");
+        match path.as_str() {
+            "/-/log-append" => self.handle_append(&topic, req).await,
+            "/-/log-read" => Ok(self.handle_read(&topic, &query).await),
+            "/-/log-newest" => Ok(self.handle_newest(&topic)),
+            _ => Ok(http::text(StatusCode::NOT_FOUND, "no such path")),
+        }
+    }
+
+    async fn handle_append(&self, topic: &str, req: Request<Incoming>) -> Result<Reply, Broken> {
+        let body = http::read_body(req.into_body(), MAX_RECORD_BYTES, Duration::from_secs(5));
+        let Ok(mut body) = body.await else {
+            return Ok(http::text(StatusCode::BAD_REQUEST, "unreadable record"));
         };
-        if req.method() == Method::POST {
-            let body = http::read_body(req.into_body(), MAX_RECORD_BYTES, Duration::from_secs(5));
-            let Ok(body) = body.await else {
-                return http::text(StatusCode::BAD_REQUEST, "unreadable record");
-            };
-            return match self.append(stream, body).await {
-                Ok(offset) => http::json(StatusCode::OK, &AppendReply { offset }),
-                Err(AppendError::Refused(text)) => http::text(StatusCode::TOO_MANY_REQUESTS, text),
-                Err(AppendError::Uncertain(text)) => http::text(StatusCode::BAD_GATEWAY, text),
-            };
-        }
-        let query = req.uri().query().unwrap_or("");
-        let wait = Duration::from_millis(parameter(query, "wait_ms"));
-        match self.read(stream, parameter(query, "from"), wait).await {
-            Ok(page) => http::json(StatusCode::OK, &read_reply(page)),
+        if body.len() < LENGTH_BYTES || body.get_u32() as usize != body.len() {
+            return Ok(http::text(StatusCode::BAD_REQUEST, "one record a call"));
+        }
+        match self.append(topic, body).await {
+            Ok(offset) => {
+                let (offset, end) = (offset - 1, offset);
+                let reply = serde_json::json!({ "Offset": offset, "End": end });
+                Ok(http::json(StatusCode::OK, &reply))
+            }
+            Err(AppendError::Refused(text)) => Ok(http::text(StatusCode::TOO_MANY_REQUESTS, text)),
+            // The connection ends without an answer.
+            Err(AppendError::Uncertain(_)) => Err(Broken),
+        }
+    }
+
+    async fn handle_read(&self, topic: &str, query: &str) -> Reply {
+        let wait = Duration::from_millis(parameter(query, "WaitMs"));
+        match Log::read(self, topic, parameter(query, "From") + 1, wait).await {
+            Ok(page) => http::text(StatusCode::OK, read_body(&page)),
             Err(ReadError::Expired { first }) => {
-                let reply = ReadReply { first, ..ReadReply::default() };
-                http::json(StatusCode::GONE, &reply)
+                http::json(StatusCode::GONE, &serde_json::json!({ "First": first - 1 }))
             }
             Err(ReadError::Unavailable(text)) => http::text(StatusCode::SERVICE_UNAVAILABLE, text),
         }
     }
 
+    fn handle_newest(&self, topic: &str) -> Reply {
+        use base64::{Engine, engine::general_purpose::STANDARD};
+        match self.newest(topic) {
+            Ok((items, end)) => {
+                let items: Vec<_> = items
+                    .iter()
+                    .map(|(key, value, offset)| {
+                        let value = STANDARD.encode(value);
+                        serde_json::json!({ "Key": key, "Value": value, "Offset": offset })
+                    })
+                    .collect();
+                let reply = serde_json::json!({ "items": items, "HasMore": false, "End": end });
+                http::json(StatusCode::OK, &reply)
+            }
+            Err(err) => http::text(StatusCode::SERVICE_UNAVAILABLE, err.to_string()),
+        }
+    }
+
     fn page(&self, stream: &str, from: Offset) -> Result<Page, ReadError> {
         let mut inner = self.lock();
         inner.reads += 1;
@@ -223,14 +289,21 @@
 }
 
 fn parameter(query: &str, name: &str) -> u64 {
-    let pairs = query.split('&').filter_map(|p| p.split_once('='));
-    let found = pairs.filter(|(n, _)| *n == name).map(|(_, v)| v.parse()).next();
-    found.and_then(Result::ok).unwrap_or(0)
+    text(query, name).parse().unwrap_or(0)
 }
 
-fn read_reply(page: Page) -> ReadReply {
-    let from = page.records.first().map_or(page.end, |r| r.offset);
-    let text = |r: LogRecord| String::from_utf8_lossy(&r.payload).into_owned();
-    let payloads = page.records.into_iter().map(text).collect();
-    ReadReply { first: page.first, end: page.end, from, payloads }
+fn text(query: &str, name: &str) -> String {
+    let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
+    pairs.find(|(n, _)| *n == name).map(|(_, v)| v.to_owned()).unwrap_or_default()
+}
+
+fn read_body(page: &Page) -> Bytes {
+    let mut body = BytesMut::new();
+    body.put_u64(page.end - 1);
+    body.put_u64(page.first - 1);
+    for record in &page.records {
+        body.put_u32(record.payload.len() as u32);
+        body.put_slice(&record.payload);
+    }
+    body.freeze()
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,7 +1,6 @@
 //! What every process keeps of the fleet: configuration, plan, VM list.
 
 mod follower;
-mod http_log;
 mod http_vm_list;
 mod log;
 mod operator;
@@ -11,7 +10,6 @@
 mod vms;
 
 pub use follower::{CONFIG_STREAM, Follower};
-pub use http_log::{AppendReply, HttpLog, ReadReply};
 pub use http_vm_list::HttpVmList;
 pub use log::{AppendError, Log, LogRecord, Page, ReadError};
 pub use operator::{ChangeError, read_all, read_records, submit};
--- a/src/fleet/topic.rs
+++ b/src/fleet/topic.rs
@@ -71,7 +71,7 @@
         topic.replace(newest.records);
         return Ok(newest.next);
     };
-    let page = store.read(T::TOPIC, from, T::WAIT).await?;
+    let page = store.read_keyed(T::TOPIC, from, T::WAIT).await?;
     topic.answered();
     topic.changed(page.records);
     Ok(page.next)
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -100,9 +100,9 @@
 /// # Errors
 /// [`Broken`] when the answer broke off after its head was sent.
 pub(super) async fn handle(hub: Arc<Hub>, req: Request<Incoming>) -> Result<Reply, Broken> {
-    let leaving = hub.is_leaving();
-    let mut reply = handle_inner(hub, req).await;
-    if leaving {
+    let mut reply = handle_inner(hub.clone(), req).await;
+    // The stop may have begun while the request ran.
+    if hub.is_leaving() {
         reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(reply)
@@ -298,9 +298,12 @@
     fn check_crash(&self, address: std::net::SocketAddr) {
         self.hub.pool.forget(address);
         let (hub, fingerprint) = (self.hub.clone(), self.fingerprint);
+        hub.lock().checks += 1;
         tokio::spawn(async move {
             time::sleep(CRASH_CHECK_AFTER).await;
-            if Connection::open(address).await.is_err() {
+            let crashed = Connection::open(address).await.is_err();
+            hub.lock().checks -= 1;
+            if crashed {
                 let now = Instant::now();
                 let breaks = hub.lock().suspects.broke(now, fingerprint);
                 info!("event=suspect fingerprint={fingerprint:x} breaks={breaks} at={address}");
@@ -406,12 +409,12 @@
                 self.tried.push(endpoint);
                 return Err(None);
             }
-            if promises_not_run(head.status) {
-                return Err(Some(self.failed()));
-            }
         } else {
             self.hub.lock().suspects.completed(self.fingerprint);
         }
+        if promises_not_run(head.status) {
+            return Err(Some(self.failed()));
+        }
         let mut reply = Response::new(ReplyBody::whole(whole));
         *reply.status_mut() = head.status;
         *reply.headers_mut() = platform::answer_headers(&head.headers);
@@ -468,6 +471,11 @@
         histogram!(names::REQUEST, "class" => class).record(took);
     }
 
+    /// Last event that the caller had before this request.
+    pub(super) fn last_event(&self) -> Option<String> {
+        platform::last_event(&self.headers)
+    }
+
     /// Counts the first event of a stream.
     pub(super) fn first_event(&mut self) {
         self.sends += 1;
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -53,6 +53,7 @@
     store_away: bool,
     store_back: Option<Instant>,
     leaving: bool,
+    pub(super) checks: u32,
 }
 
 /// Where a request goes.
@@ -97,6 +98,7 @@
             store_away: false,
             store_back: None,
             leaving: false,
+            checks: 0,
         };
         Arc::new(Self {
             bounds,
@@ -122,6 +124,31 @@
         self.lock().table.clone()
     }
 
+    /// Version of the routes in force.
+    pub fn version(&self) -> Option<u64> {
+        self.lock().table.as_ref().map(|t| t.version)
+    }
+
+    /// Number of endpoints that take requests.
+    pub fn usable_endpoints(&self) -> usize {
+        self.lock().book.iter().filter(|e| e.is_usable()).count()
+    }
+
+    /// Whether an endpoint is registered.
+    pub fn knows(&self, endpoint: &str) -> bool {
+        self.lock().book.get(endpoint).is_some()
+    }
+
+    /// Whether the store did not answer last.
+    pub fn is_store_away(&self) -> bool {
+        self.lock().store_away
+    }
+
+    /// Whether it is being looked at whether an endpoint has crashed.
+    pub fn is_checking(&self) -> bool {
+        0 < self.lock().checks
+    }
+
     /// Whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
         let state = self.lock();
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,14 +3,14 @@
 
 use std::time::{Duration, Instant};
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Buf;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use log::{info, warn};
 use tokio::time;
 
 use crate::{
-    core::ids::EndpointId,
+    core::{forwarding::StreamEvents, ids::EndpointId},
     gateway::forward::{Answer, Job},
     http::{Broken, Reply, ReplyBody, Sender},
     platform,
@@ -21,44 +21,6 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
 /// What the endpoint's last event may be late by.
 const DEADLINE_SLACK: Duration = Duration::from_millis(150);
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
-
-/// Whole events of a stream and the id of the last one.
-#[derive(Debug, Default)]
-pub(super) struct Events {
-    buf: BytesMut,
-    last: Option<String>,
-}
-
-impl Events {
-    /// Adds bytes and returns the events that are whole now.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        self.buf.extend_from_slice(bytes);
-        let end = last_event_end(&self.buf)?;
-        let whole = self.buf.split_to(end).freeze();
-        if let Some(id) = last_id(&whole) {
-            self.last = Some(id);
-        }
-        Some(whole)
-    }
-
-    fn is_between_events(&self) -> bool {
-        self.buf.is_empty()
-    }
-}
-
-fn last_event_end(buf: &[u8]) -> Option<usize> {
-    let lf = buf.windows(2).rposition(|w| w == b"\n\n").map(|at| at + 2);
-    let crlf = buf.windows(4).rposition(|w| w == b"\r\n\r\n").map(|at| at + 4);
-    lf.max(crlf)
-}
-
-fn last_id(events: &[u8]) -> Option<String> {
-    let mut ids = events.split(|b| *b == b'\n').filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.next_back()?;
-    Some(String::from_utf8_lossy(id).trim().to_owned())
-}
-
 enum End {
     Whole,
     CallerGone,
@@ -78,13 +40,11 @@
 }
 
 async fn pass(mut job: Job, mut answer: Answer, tx: Sender) {
-    let mut last = None;
+    let mut events = StreamEvents::after(job.last_event().as_deref());
     loop {
         let endpoint = answer.endpoint.clone();
-        let mut events = Events { buf: BytesMut::new(), last: last.clone() };
-        let end = pass_one(&job, answer, &tx, &mut events).await;
-        last = events.last;
-        match end {
+        events.next_run();
+        match pass_one(&job, answer, &tx, &mut events).await {
             End::Whole => {
                 job.completed();
                 job.log_end(StatusCode::OK, "streamed", Some(&endpoint));
@@ -104,12 +64,12 @@
             return give_up(&job, &tx, "broken", &endpoint).await;
         }
         let next = tokio::select! {
-            next = job.attempt(last.as_deref()) => next,
+            next = job.attempt(events.last()) => next,
             () = tx.closed() => return,
         };
         match next {
             Ok(next) if next.response.status().is_success() => {
-                info!("event=stream_resumed endpoint={} after={last:?}", next.endpoint);
+                info!("event=stream_resumed endpoint={} after={:?}", next.endpoint, events.last());
                 job.first_event();
                 answer = next;
             }
@@ -124,7 +84,7 @@
     let _ = tx.send(Err(Broken)).await;
 }
 
-async fn pass_one(job: &Job, answer: Answer, tx: &Sender, events: &mut Events) -> End {
+async fn pass_one(job: &Job, answer: Answer, tx: &Sender, events: &mut StreamEvents) -> End {
     let Answer { response, state, connection, running, .. } = answer;
     let mut body = response.into_body();
     let mut begun = false;
@@ -147,15 +107,17 @@
         };
         if !begun && data.has_remaining() {
             begun = true;
+
             running.answered();
         }
-        if let Some(whole) = events.push(&data)
-            && tx.send(Ok(whole)).await.is_err()
-        {
-            return End::CallerGone;
-        }
-        if MAX_EVENT_BYTES < events.buf.len() {
-            return End::Broken("an event is larger than 1 MiB".to_owned());
+        match events.push(&data) {
+            Ok(None) => {}
+            Ok(Some(whole)) => {
+                if tx.send(Ok(whole)).await.is_err() {
+                    return End::CallerGone;
+                }
+            }
+            Err(disorder) => return End::Broken(format!("{disorder:?}")),
         }
     }
     drop(running);
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -110,6 +110,12 @@
     }
 }
 
+/// The last event of a stream that the caller has got, if it goes on with one.
+pub fn last_event(caller: &HeaderMap) -> Option<String> {
+    let last = caller.get(&LAST_EVENT)?.to_str().ok()?;
+    Some(last.trim().to_owned())
+}
+
 fn part(text: &str) -> Option<PromptPart> {
     let (id, tokens) = text.trim().split_once(':')?;
     let id = u64::from_str_radix(id, 16).ok()?;
--- /dev/null
+++ b/src/platform/log.rs
@@ -0,0 +1,49 @@
+//! The product's own log, kept in topics of the platform's store.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::{
+    core::ids::Offset,
+    fleet::{AppendError, Log, LogRecord, Page, ReadError},
+    platform::{Store, StoreError},
+};
+
+/// Offsets of the product begin with 1, those of the store with 0.
+const FIRST_OFFSET: Offset = 1;
+
+impl From<StoreError> for AppendError {
+    fn from(err: StoreError) -> Self {
+        match err {
+            StoreError::NoAnswer(_) | StoreError::Malformed(_) => Self::Uncertain(err.to_string()),
+            _ => Self::Refused(err.to_string()),
+        }
+    }
+}
+
+impl From<StoreError> for ReadError {
+    fn from(err: StoreError) -> Self {
+        match err {
+            StoreError::Expired { first } => Self::Expired { first: first + FIRST_OFFSET },
+            _ => Self::Unavailable(err.to_string()),
+        }
+    }
+}
+
+impl Log for Store {
+    async fn append(&self, stream: &str, payload: Bytes) -> Result<Offset, AppendError> {
+        Ok(self.append_record(stream, &payload).await? + FIRST_OFFSET)
+    }
+
+    async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Page, ReadError> {
+        let start = from.saturating_sub(FIRST_OFFSET);
+        let raw = self.read_raw(stream, start, wait).await?;
+        let record = |(i, payload): (usize, Bytes)| LogRecord {
+            offset: start + i as Offset + FIRST_OFFSET,
+            payload,
+        };
+        let records = raw.records.into_iter().enumerate().map(record).collect();
+        Ok(Page { records, first: raw.first + FIRST_OFFSET, end: raw.end + FIRST_OFFSET })
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,13 +6,15 @@
 mod configuration;
 mod engine;
 mod headers;
+mod log;
 mod registration;
 mod store;
 
 pub use configuration::{CONFIG_KEY, decode_configuration};
 pub use engine::Engine;
 pub use headers::{
-    AnswerState, CallerHead, Sent, answer_headers, engine_state, forwarded_headers, read_caller,
+    AnswerState, CallerHead, Sent, answer_headers, engine_state, forwarded_headers, last_event,
+    read_caller,
 };
 pub use headers::{NotRun, READY_PATH};
 pub use registration::decode_registration;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -8,7 +8,7 @@
 
 use crate::http::{Client, ClientError};
 
-/// A topic of the log.
+/// A keyed topic of the log.
 pub type Topic = &'static str;
 
 /// Records of the operator.
@@ -103,6 +103,17 @@
     pub next: u64,
 }
 
+/// Records of a topic as they are.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RawPage {
+    /// Offset that the next record will get.
+    pub end: u64,
+    /// The oldest offset that is kept.
+    pub first: u64,
+    /// The records, in order.
+    pub records: Vec<Bytes>,
+}
+
 /// The newest record of each key.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Newest {
@@ -159,21 +170,34 @@
     ///
     /// # Errors
     /// [`StoreError::Expired`] when records in between are gone; any other.
-    pub async fn read(
+    pub async fn read_keyed(
         &self,
         topic: Topic,
         from: u64,
         wait: Duration,
     ) -> Result<ReadPage, StoreError> {
-        let wait_ms = wait.as_millis();
+        let raw = self.read_raw(topic, from, wait).await?;
+        let next = from + raw.records.len() as u64;
+        let records = raw.records.into_iter().filter_map(decode_keyed).collect();
+        Ok(ReadPage { records, next })
+    }
+
+    /// Reads the records of a topic as they are.
+    ///
+    /// # Errors
+    /// As for [`Self::read_keyed`].
+    pub async fn read_raw(
+        &self,
+        topic: &str,
+        from: u64,
+        wait: Duration,
+    ) -> Result<RawPage, StoreError> {
+        let (topic, wait_ms) = (encode(topic), wait.as_millis());
         let path = format!("/-/log-read?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}");
         let headers = HeaderMap::new();
         let limit = wait + ANSWER_LIMIT;
         let body = self.client.call(Method::GET, &path, headers, Bytes::new(), limit).await?;
-        let raw = split_records(body)?;
-        let next = from + raw.len() as u64;
-        let records = raw.into_iter().filter_map(decode_keyed).collect();
-        Ok(ReadPage { records, next })
+        split_records(body)
     }
 
     /// Reads the newest record of each key of a topic.
@@ -205,12 +229,22 @@
         if MAX_KEY_BYTES < key.len() {
             return Err(StoreError::Malformed(format!("the key {key:?} is too long")));
         }
-        let mut body = BytesMut::new();
-        body.put_u32((1 + key.len() + value.len()) as u32);
-        body.put_u8(key.len() as u8);
-        body.put_slice(key.as_bytes());
-        body.put_slice(value);
-        let path = format!("/-/log-append?Topic={topic}&part=0");
+        let mut record = BytesMut::with_capacity(1 + key.len() + value.len());
+        record.put_u8(key.len() as u8);
+        record.put_slice(key.as_bytes());
+        record.put_slice(value);
+        self.append_record(topic, &record).await
+    }
+
+    /// Appends a record to a topic and returns its offset.
+    ///
+    /// # Errors
+    /// As for [`Self::put`].
+    pub async fn append_record(&self, topic: &str, record: &[u8]) -> Result<u64, StoreError> {
+        let mut body = BytesMut::with_capacity(LENGTH_BYTES + record.len());
+        body.put_u32(record.len() as u32);
+        body.put_slice(record);
+        let path = format!("/-/log-append?Topic={}&part=0", encode(topic));
         let headers = HeaderMap::new();
         let call = self.client.call(Method::POST, &path, headers, body.freeze(), ANSWER_LIMIT);
         let reply: Result<AppendWire, _> = serde_json::from_slice(&call.await?);
@@ -218,21 +252,20 @@
     }
 }
 
-fn split_records(mut body: Bytes) -> Result<Vec<Bytes>, StoreError> {
+fn split_records(mut body: Bytes) -> Result<RawPage, StoreError> {
     let short = || StoreError::Malformed("an answer ends within a record".to_owned());
     if body.len() < HEAD_BYTES {
         return Err(short());
     }
-    body.advance(HEAD_BYTES);
-    let mut records = Vec::new();
+    let mut page = RawPage { end: body.get_u64(), first: body.get_u64(), records: Vec::new() };
     while LENGTH_BYTES <= body.len() {
         let length = body.get_u32() as usize;
         if body.len() < length {
             return Err(short());
         }
-        records.push(body.split_to(length));
+        page.records.push(body.split_to(length));
     }
-    if body.is_empty() { Ok(records) } else { Err(short()) }
+    if body.is_empty() { Ok(page) } else { Err(short()) }
 }
 
 /// A record that does not begin with a key counts as an offset only.
