--- a/src/fakes/log.rs
+++ b/src/fakes/log.rs
@@ -47,6 +47,9 @@
     }
 }
 
+/// Key, value and offset.
+type NewestItem = (String, Bytes, u64);
+
 #[derive(Debug, Default)]
 struct Stream {
     first: Offset,
@@ -126,7 +129,7 @@
     }
 
     /// The newest record of each key of a topic, with their offsets from 0.
-    fn newest(&self, topic: &str) -> Result<(Vec<(String, Bytes, u64)>, u64), ReadError> {
+    fn newest(&self, topic: &str) -> Result<(Vec<NewestItem>, u64), ReadError> {
         let inner = self.lock();
         if inner.faults.outage {
             return Err(ReadError::Unavailable("outage".to_owned()));
