Planned stop: refuse what waits in time, answer what is not done

Now waits end within 0.6 of the grace period with a refusal, and what is unanswered at its end gets 504. Test: a_planned_stop_answers_what_waits_and_what_is_not_done.

--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -152,6 +152,8 @@
     wanted: HashMap<Wanted, Instant>,
     used: HashMap<EndpointId, HashSet<(ModelName, Arc<str>)>>,
     processes: usize,
+    // Requests that still wait then are refused: the process ends soon after.
+    last_wait: Option<Instant>,
 }
 
 impl Dispatcher {
@@ -169,6 +171,7 @@
             wanted: HashMap::new(),
             used: HashMap::new(),
             processes: 1,
+            last_wait: None,
         }
     }
 
@@ -177,6 +180,11 @@
         self.processes = processes.max(1);
     }
 
+    /// The process stops: requests wait until then at most.
+    pub fn stop_waiting(&mut self, at: Instant) {
+        self.last_wait = Some(at);
+    }
+
     /// A request asks for an endpoint, other than those that it has `tried`.
     pub fn ask(
         &mut self,
@@ -354,7 +362,8 @@
             Why::NotResident => whole.mul_f64(WAIT_SHARE_OF_DEADLINE),
             _ => waiting.target.mul_f64(WAIT_SHARE_OF_TARGET).min(whole / 2),
         };
-        waiting.since + share
+        let until = waiting.since + share;
+        self.last_wait.map_or(until, |last| until.min(last))
     }
 
     fn retry_after(&mut self, service: &Service, needs: &Needs, why: Why) -> Duration {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -128,9 +128,16 @@
         Err(refusal) => return answer::reply(&refusal),
     };
     let caller = platform::read_caller(&head.headers);
-    match Job::new(hub, route, head, caller, body, arrived) {
-        Ok(job) => job.run().await,
-        Err(refusal) => answer::reply(&refusal),
+    let job = match Job::new(hub.clone(), route, head, caller, body, arrived) {
+        Ok(job) => job,
+        Err(refusal) => return answer::reply(&refusal),
+    };
+    tokio::select! {
+        reply = job.run() => reply,
+        () = hub.last_call() => {
+            let text = "the process ends before the endpoint has answered";
+            answer::reply(&Refusal::new(Code::DeadlineExceeded, text))
+        }
     }
 }
 
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -8,7 +8,7 @@
 };
 
 use metrics::{counter, gauge};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 
 use crate::{
     core::{
@@ -81,6 +81,7 @@
     pub(super) urgent: Notify,
     // Requests wait for an adapter that an agent is to load.
     pub(super) wanted: Notify,
+    last_call: watch::Sender<bool>,
 }
 
 impl Hub {
@@ -107,6 +108,7 @@
             asked: Notify::new(),
             urgent: Notify::new(),
             wanted: Notify::new(),
+            last_call: watch::Sender::new(false),
         })
     }
 
@@ -134,6 +136,11 @@
         self.lock().book.iter().filter(|e| e.is_usable()).count()
     }
 
+    /// Number of requests that wait for an endpoint.
+    pub fn waiting(&self) -> usize {
+        self.lock().dispatcher.waiting()
+    }
+
     /// Whether an endpoint is registered.
     pub fn knows(&self, endpoint: &str) -> bool {
         self.lock().book.get(endpoint).is_some()
@@ -155,9 +162,23 @@
         state.table.is_some() && !state.leaving
     }
 
-    /// The planned stop has begun.
-    pub fn leave(&self) {
-        self.lock().leaving = true;
+    /// The planned stop has begun. Requests wait for an endpoint so long at most.
+    pub fn leave(&self, wait: Duration) {
+        let mut state = self.lock();
+        state.leaving = true;
+        state.dispatcher.stop_waiting(Instant::now() + wait);
+    }
+
+    /// The process ends within a moment: what has no answer yet is answered.
+    pub(super) fn call_last(&self) {
+        self.last_call.send_replace(true);
+    }
+
+    /// Waits for the last moment before the process ends.
+    pub(super) async fn last_call(&self) {
+        let mut last_call = self.last_call.subscribe();
+        // The sender lives as long as the hub.
+        let _ = last_call.wait_for(|called| *called).await;
     }
 
     /// Whether the planned stop has begun.
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -34,7 +34,11 @@
 /// said that it is not ready: two questions, one a second, and a margin.
 const NOTICE: Duration = Duration::from_millis(2600);
 /// Time that is left of the grace period when the last requests are given up.
-const STOP_MARGIN: Duration = Duration::from_millis(600);
+const STOP_MARGIN: Duration = Duration::from_millis(900);
+/// Time for the answers to what was given up.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
+/// Share of the grace period within which requests may wait for an endpoint.
+const WAIT_SHARE_OF_GRACE: f64 = 0.6;
 
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
@@ -135,15 +139,21 @@
     /// last answer or of the grace period.
     pub async fn stop(self) {
         let grace = self.hub.bounds().grace.saturating_sub(STOP_MARGIN);
-        self.hub.leave();
+        self.hub.leave(grace.mul_f64(WAIT_SHARE_OF_GRACE));
         info!("event=leaving grace_ms={}", grace.as_millis());
+        let mut server = self.server;
         let finish = async {
             time::sleep(NOTICE.min(grace / 2)).await;
             self.stop.send_replace(true);
             // The server ends by itself; a panic in it ends the process as well.
-            let _ = self.server.await;
+            let _ = (&mut server).await;
         };
         let whole = time::timeout(grace, finish).await.is_ok();
+        if !whole {
+            self.hub.call_last();
+            // What was answered last is on its way to the callers meanwhile.
+            let _ = time::timeout(LAST_ANSWERS, server).await;
+        }
         info!("event=left whole={whole}");
     }
 }
--- a/tests/gateway/bed.rs
+++ b/tests/gateway/bed.rs
@@ -110,7 +110,7 @@
                 retry_ratio: 0.2,
                 retry_window: Duration::from_secs(10),
                 retry_slack: 4.0,
-                grace: Duration::from_secs(8),
+                grace: Duration::from_secs(4),
             },
         };
         let listeners = Listeners { callers, ready, peers, peer_address };
--- a/tests/gateway/drain.rs
+++ b/tests/gateway/drain.rs
@@ -155,3 +155,40 @@
         stopped.await.unwrap();
     });
 }
+
+#[test]
+fn a_planned_stop_answers_what_waits_and_what_is_not_done() {
+    run(async {
+        let silent = Endpoint::start(|_| vec![Step::Hang]).await;
+        let bed = Bed::start(&[&silent]).await;
+        let mut long = crate::bed::routes();
+        for route in &mut long {
+            route["TimeoutMs"] = 20_000.into();
+            route["TargetLatencyMs"] = 20_000.into();
+        }
+        let mut nowhere = crate::bed::route("/nowhere/", "non_idempotent", 1);
+        nowhere["Service"] = "other".into();
+        nowhere["TimeoutMs"] = 20_000.into();
+        nowhere["TargetLatencyMs"] = 20_000.into();
+        long.push(nowhere);
+        bed.configure(2, &long).await;
+        bed.wait_version(2).await;
+        let send = async |path: &str| {
+            let mut socket = bed.connect().await;
+            let text = request("POST", path, "x-deadline-ms: 20000\r\n", "");
+            socket.write_all(text.as_bytes()).await.unwrap();
+            socket
+        };
+        let mut running = send("/book/1").await;
+        let mut waiting = send("/nowhere/1").await;
+        silent.wait_seen(1).await;
+        bed.wait(|bed| bed.gateway.hub().waiting() == 1).await;
+        let stopped = tokio::spawn(bed.gateway.stop());
+        // One has not run, the other may have.
+        let got = read_answer(&mut waiting, &mut Vec::new()).await;
+        assert_eq!((got.status, got.whole), (503, true));
+        let got = read_answer(&mut running, &mut Vec::new()).await;
+        assert_eq!((got.status, got.whole), (504, true));
+        stopped.await.unwrap();
+    });
+}
