--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -30,7 +30,10 @@
 const MEAN_PROMPT_TOKENS: u64 = 1200;
 /// Prompt tokens that may wait at an engine: two steps that read them stay
 /// under the pause of 300 ms that a stream may have.
-const MAX_UNREAD_TOKENS: u64 = 5000;
+const MAX_UNREAD_TOKENS: u64 = 4500;
+/// Prompt tokens of this process alone that may wait at an engine. Others send
+/// at the same time, and reports tell of that later.
+const MAX_OWN_UNREAD_TOKENS: u64 = 2000;
 /// Share of an engine's memory beyond which it gets no further request.
 const MAX_MEMORY_SHARE: f64 = 0.9;
 /// Time that a byte takes to another region and back.
@@ -407,7 +410,10 @@
         let full = slots <= load.all_running(now)
             || MAX_MEMORY_SHARE <= load.memory_share(now, engine.kv_tokens);
         let backlog = load.backlog_tokens(now, MEAN_PROMPT_TOKENS);
-        if full || (0 < backlog && MAX_UNREAD_TOKENS < backlog + u64::from(needs.prompt_tokens)) {
+        let prompt = u64::from(needs.prompt_tokens);
+        let own = load.unread_tokens();
+        let too_much = 0 < backlog && MAX_UNREAD_TOKENS < backlog + prompt;
+        if full || too_much || (0 < own && MAX_OWN_UNREAD_TOKENS < own + prompt) {
             return None;
         }
         let saved = self.kept_tokens(endpoint.id(), needs);
--- a/src/core/forwarding/load.rs
+++ b/src/core/forwarding/load.rs
@@ -86,6 +86,11 @@
         self.running
     }
 
+    /// Prompt tokens of own requests that have no first token yet.
+    pub fn unread_tokens(&self) -> u64 {
+        self.unread_tokens
+    }
+
     /// Requests of all processes at the endpoint.
     pub fn all_running(&self, now: Instant) -> u32 {
         let others = self
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -71,6 +71,8 @@
     sends: u32,
     // The next send is already taken out of the shared budget.
     paid: bool,
+    first: Option<Duration>,
+    longest_gap: Duration,
 }
 
 /// An answer whose head has come.
@@ -181,6 +183,8 @@
             runs: 0,
             sends: 0,
             paid: false,
+            first: None,
+            longest_gap: Duration::ZERO,
             route,
         })
     }
@@ -463,7 +467,7 @@
         let took = self.arrived.elapsed();
         info!(
             "event=request_end id={} route={} model={} status={} how={how} sends={} tried={} \
-             endpoint={} ms={}",
+             endpoint={} first_ms={} gap_ms={} ms={}",
             String::from_utf8_lossy(&self.id),
             self.route.name,
             self.needs.model.as_deref().unwrap_or("-"),
@@ -471,10 +475,15 @@
             self.sends,
             self.tried.len(),
             endpoint.map_or("-", |e| e),
+            self.first.map_or(0, |f| f.as_millis()),
+            self.longest_gap.as_millis(),
             took.as_millis(),
         );
         let class = self.route.name.to_string();
         counter!(names::REQUESTS, "class" => class.clone()).increment(1);
+        if !self.longest_gap.is_zero() {
+            histogram!(names::TOKEN_GAP, "class" => class.clone()).record(self.longest_gap);
+        }
         histogram!(names::REQUEST, "class" => class).record(took);
     }
 
@@ -483,12 +492,22 @@
         platform::last_event(&self.headers)
     }
 
-    /// Counts the first event of a stream.
-    pub(super) fn first_event(&mut self) {
+    /// Counts a run whose head has come.
+    pub(super) fn head_came(&mut self) {
         self.sends += 1;
         self.runs += 1;
-        let class = self.route.name.to_string();
-        histogram!(names::FIRST_TOKEN, "class" => class).record(self.arrived.elapsed());
+    }
+
+    /// Notes an event that came so long after the one before.
+    pub(super) fn event_came(&mut self, gap: Duration) {
+        let class = || self.route.name.to_string();
+        if self.first.is_none() {
+            let took = self.arrived.elapsed();
+            histogram!(names::FIRST_TOKEN, "class" => class()).record(took);
+            self.first = Some(took);
+            return;
+        }
+        self.longest_gap = self.longest_gap.max(gap);
     }
 
     /// The request ended well.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -33,7 +33,7 @@
     let mut head = Response::new(());
     *head.status_mut() = answer.response.status();
     *head.headers_mut() = platform::answer_headers(answer.response.headers());
-    job.first_event();
+    job.head_came();
     let (tx, body) = ReplyBody::parts();
     tokio::spawn(pass(job, answer, tx));
     head.map(|()| body)
@@ -44,7 +44,7 @@
     loop {
         let endpoint = answer.endpoint.clone();
         events.next_run();
-        match pass_one(&job, answer, &tx, &mut events).await {
+        match pass_one(&mut job, answer, &tx, &mut events).await {
             End::Whole => {
                 job.completed();
                 job.log_end(StatusCode::OK, "streamed", Some(&endpoint));
@@ -70,7 +70,7 @@
         match next {
             Ok(next) if next.response.status().is_success() => {
                 info!("event=stream_resumed endpoint={} after={:?}", next.endpoint, events.last());
-                job.first_event();
+                job.head_came();
                 answer = next;
             }
             _ => return give_up(&job, &tx, "broken", &endpoint).await,
@@ -84,10 +84,11 @@
     let _ = tx.send(Err(Broken)).await;
 }
 
-async fn pass_one(job: &Job, answer: Answer, tx: &Sender, events: &mut StreamEvents) -> End {
+async fn pass_one(job: &mut Job, answer: Answer, tx: &Sender, events: &mut StreamEvents) -> End {
     let Answer { response, state, connection, running, .. } = answer;
     let mut body = response.into_body();
     let mut begun = false;
+    let mut before = Instant::now();
     loop {
         let now = Instant::now();
         let until = job.deadline + DEADLINE_SLACK;
@@ -113,6 +114,8 @@
         match events.push(&data) {
             Ok(None) => {}
             Ok(Some(whole)) => {
+                let now = Instant::now();
+                job.event_came(now - std::mem::replace(&mut before, now));
                 if tx.send(Ok(whole)).await.is_err() {
                     return End::CallerGone;
                 }
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -2,7 +2,7 @@
 
 /// Seconds to the first token, by tenant and class.
 pub const FIRST_TOKEN: &str = "goldcrestpitch_first_token_seconds";
-/// Seconds between tokens, by tenant and class.
+/// Seconds between tokens, by tenant and class; of forwarded streams, the longest pause.
 pub const TOKEN_GAP: &str = "goldcrestpitch_token_gap_seconds";
 /// Seconds of whole requests, by tenant and class.
 pub const REQUEST: &str = "goldcrestpitch_request_seconds";
