--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -27,7 +27,7 @@
 };
 
 /// Time between reads of the engine's report, which is free on its own VM.
-const REPORT_EVERY: Duration = Duration::from_millis(100);
+const REPORT_EVERY: Duration = Duration::from_millis(60);
 /// The same while an order is awaited.
 const REPORT_SOON: Duration = Duration::from_millis(12);
 /// Time between messages to gateways when only the load has changed.
@@ -268,6 +268,7 @@
 /// Reads reports and gives orders for ever.
 async fn work(shared: Arc<Shared>) {
     let mut told = Instant::now();
+    let mut unread_told = 0;
     let mut wait = REPORT_EVERY;
     loop {
         tokio::select! {
@@ -285,9 +286,11 @@
                 let load = state.seen.as_ref().map(|v| v.reported) != Some(view.reported);
                 let held = state.seen.as_ref().map(|v| (&v.residency, v.state))
                     != Some((&view.residency, view.state));
+                let unread = view.reported.unread;
+                let before = std::mem::replace(&mut unread_told, unread);
                 state.desk.report(now, view.clone());
                 state.seen = Some(view);
-                if held || (load && told + TELL_LOAD_EVERY <= now) {
+                if held || before < unread || (load && told + TELL_LOAD_EVERY <= now) {
                     told = now;
                     shared.tell(&mut state, now, None);
                 }
