--- a/src/core/placement/demand.rs
+++ b/src/core/placement/demand.rs
@@ -12,7 +12,7 @@
 
 /// Demand older than this hardly counts. Short enough that a model that becomes
 /// busy within seconds is noticed, long enough that a few requests are no burst.
-const MEMORY: Duration = Duration::from_millis(2500);
+const MEMORY: Duration = Duration::from_millis(1500);
 /// Demand below so many prompt tokens a second is forgotten.
 const LEAST_TOKENS_PER_S: f64 = 1.0;
 
--- a/src/core/placement/fleet_plan.rs
+++ b/src/core/placement/fleet_plan.rs
@@ -19,9 +19,9 @@
 
 /// Prompt tokens a second beyond which a model gets a further copy: a third of
 /// what an engine reads in a second by the operators' sheet.
-const TOKENS_PER_COPY: f64 = 6_400.0;
+const TOKENS_PER_COPY: f64 = 4_000.0;
 /// Below this demand a copy, the copies are too many.
-const SILENT_TOKENS_PER_COPY: f64 = 1_600.0;
+const SILENT_TOKENS_PER_COPY: f64 = 1_300.0;
 /// Loads from the weight store at the same time that run at full speed. Source:
 /// the operators' sheet.
 const MAX_STORE_LOADS: usize = 7;
