An order without an answer does not hold up the next

Both orders name the same number of orders, so the engine carries out one at most: the next may follow at once.

--- a/src/core/residency/desk.rs
+++ b/src/core/residency/desk.rs
@@ -188,15 +188,16 @@
         let Some(order) = self.sending.take() else { return };
         // What is reported was read before the order; the next report decides.
         self.quiet_until = match answer {
-            Some(OrderAnswer::Accepted) => None,
-            _ => Some(now + REFUSED_PAUSE),
+            Some(OrderAnswer::Accepted) | None => None,
+            Some(_) => Some(now + REFUSED_PAUSE),
         };
-        if answer == Some(OrderAnswer::Accepted) || answer.is_none() {
-            if order.adapter.is_none() && order.operation == Operation::Load {
-                self.loading = Some((order.model, order.expected));
-            }
-            self.view = None;
+        let loads_model = order.adapter.is_none() && order.operation == Operation::Load;
+        if answer == Some(OrderAnswer::Accepted) && loads_model {
+            self.loading = Some((order.model, order.expected));
         }
+        // An order without an answer may be carried out late. It names the number
+        // of orders that the next one names too, so that only one of them counts.
+        self.view = None;
     }
 
     fn adapter_order(
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -17,8 +17,11 @@
     },
 };
 
-/// Time for an answer of the engine on the same VM.
-const ANSWER_LIMIT: Duration = Duration::from_millis(800);
+/// Time for a report of the engine on the same VM.
+const REPORT_LIMIT: Duration = Duration::from_millis(800);
+/// Time for the answer to an order, which the engine gives before it carries the
+/// order out.
+const ORDER_LIMIT: Duration = Duration::from_millis(250);
 const REPORT_PATH: &str = "/-/report";
 const ORDER_PATH: &str = "/-/order";
 
@@ -105,7 +108,7 @@
     /// # Errors
     /// [`Undecodable`] when there is none.
     pub async fn report(&self) -> Result<EngineView, Undecodable> {
-        let report: Result<ReportWire, _> = self.client.get_json(REPORT_PATH, ANSWER_LIMIT).await;
+        let report: Result<ReportWire, _> = self.client.get_json(REPORT_PATH, REPORT_LIMIT).await;
         report.map(EngineView::from).map_err(|err| Undecodable(err.to_string()))
     }
 
@@ -128,7 +131,7 @@
         let body = serde_json::to_vec(&wire).map_err(|e| OrderError::NotSent(e.to_string()))?;
         let mut headers = HeaderMap::new();
         headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
-        let call = self.client.call(Method::POST, ORDER_PATH, headers, body.into(), ANSWER_LIMIT);
+        let call = self.client.call(Method::POST, ORDER_PATH, headers, body.into(), ORDER_LIMIT);
         match call.await {
             Ok(_) => Ok(OrderAnswer::Accepted),
             Err(ClientError::Status(status, _)) => Ok(match status.as_u16() {
