Wait longer before a refusal; requests that can be on time go first

Now they wait up to 1.6 of it, those still in time before the others, and come back after 1.2 to 2.4 s.

--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -43,12 +43,15 @@
 /// Largest random part of a score; keeps processes with the same stale reports
 /// from choosing the same endpoint.
 const JITTER_MS: f64 = 30.0;
-/// Share of the target within which a request may wait for its endpoint.
-const WAIT_SHARE_OF_TARGET: f64 = 0.8;
+/// A request that has waited for more of its target cannot be answered within it.
+const ON_TIME_SHARE_OF_TARGET: f64 = 0.8;
+/// Part of the target within which a request may wait for its endpoint: a late
+/// answer serves the caller better than none.
+const WAIT_SHARE_OF_TARGET: f64 = 1.6;
 /// Share of the deadline within which a request may wait for a model to load.
 const WAIT_SHARE_OF_DEADLINE: f64 = 0.45;
 /// Shortest delay that a refused caller is told.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(1200);
 /// What a request may wait longer at an endpoint that has its adapter rather
 /// than have it loaded at another: the order, its way and the load.
 const ADAPTER_COST_MS: f64 = 120.0;
@@ -293,8 +296,7 @@
     ) -> Vec<(Ticket, Verdict)> {
         let mut verdicts = Vec::new();
         self.wanted.retain(|_, since| now < *since + WANT_LIFETIME);
-        let keys: Vec<(u8, Ticket)> = self.waiting.keys().copied().collect();
-        for key in keys {
+        for key in self.order(now) {
             let Some(waiting) = self.waiting.get(&key).cloned() else { continue };
             let Some(verdict) = self.decide(now, table, book, &waiting) else { continue };
             self.waiting.remove(&key);
@@ -306,6 +308,15 @@
         verdicts
     }
 
+    /// Waiting requests by urgency; those that can still be on time before those
+    /// that are late in any case.
+    fn order(&self, now: Instant) -> Vec<(u8, Ticket)> {
+        let late = |w: &Waiting| w.since + w.target.mul_f64(ON_TIME_SHARE_OF_TARGET) < now;
+        let mut keys: Vec<_> = self.waiting.iter().map(|(key, w)| (*key, late(w))).collect();
+        keys.sort_by_key(|((priority, ticket), late)| (*priority, *late, *ticket));
+        keys.into_iter().map(|(key, _)| key).collect()
+    }
+
     fn decide(
         &mut self,
         now: Instant,
