An endpoint's pace counts for the request itself; log lines for each choice

Cause: a slow endpoint that was idle looked as good as a quick one, since its pace only multiplied the backlog (test a_slow_engine_gets_less failed: 200 to 200).

--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -415,7 +415,8 @@
                 return None;
             }
             let busy = f64::from(load.running()) / f64::from(slots);
-            return Some(near + busy * 100.0 * load.pace());
+            let answer = BASE_ANSWER.as_secs_f64() * 1e3 * (1.0 + busy);
+            return Some(near + answer * load.pace());
         };
         let slots = if engine.slots == 0 { endpoint.registration.slots } else { engine.slots };
         let full = slots <= load.all_running(now)
@@ -428,8 +429,9 @@
             return None;
         }
         let saved = self.kept_tokens(endpoint.id(), needs);
-        let read = (backlog as f64 - f64::from(saved)) / READ_TOKENS_PER_MS;
-        Some(read * load.pace() + f64::from(load.all_running(now)) * 0.5 + near + jitter)
+        let tokens = (backlog + prompt) as f64 - f64::from(saved);
+        let first = BASE_FIRST_TOKEN.as_secs_f64() * 1e3 + tokens / READ_TOKENS_PER_MS;
+        Some(first * load.pace() + f64::from(load.all_running(now)) * 0.5 + near + jitter)
     }
 
     /// Tokens of the prompt's first parts that the endpoint has read before.
--- a/src/core/forwarding/load.rs
+++ b/src/core/forwarding/load.rs
@@ -121,6 +121,11 @@
         reported.max(own)
     }
 
+    /// Age of the last report, if there is a fresh one.
+    pub fn report_age(&self, now: Instant) -> Option<Duration> {
+        self.fresh(now).map(|r| now.saturating_duration_since(r.at))
+    }
+
     /// How much slower than expected the endpoint is; 1 when it is not.
     pub fn pace(&self) -> f64 {
         self.pace.unwrap_or(1.0)
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -234,6 +234,7 @@
                 return Err(self.given_up());
             }
             self.paid = false;
+            self.log_sent(&endpoint);
             match self.send(&endpoint, address, running, last_event).await {
                 Ok(answer) => return Ok(answer),
                 Err(failed) => self.after(&endpoint, address, failed)?,
@@ -248,7 +249,7 @@
         address: std::net::SocketAddr,
         failed: Failed,
     ) -> Result<(), Refusal> {
-        let id = String::from_utf8_lossy(&self.id);
+        let id = self.id().into_owned();
         let now = Instant::now();
         match failed {
             Failed::NotSent(text) => {
@@ -398,7 +399,7 @@
         let whole = match time::timeout(left, read).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(err)) => {
-                let id = String::from_utf8_lossy(&self.id);
+                let id = self.id();
                 warn!("event=truncated id={id} endpoint={endpoint} error=\"{err}\"");
                 self.tried.push(endpoint);
                 return Err(if self.may_repeat() { None } else { Some(self.failed()) });
@@ -413,7 +414,7 @@
         }
         drop(running);
         if head.status.is_server_error() {
-            let id = String::from_utf8_lossy(&self.id);
+            let id = self.id();
             let status = head.status.as_u16();
             info!("event=endpoint_error id={id} endpoint={endpoint} status={status}");
             if self.may_repeat() && self.pay() {
@@ -458,17 +459,44 @@
             *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         }
         counter!(names::REFUSALS, "code" => refusal.code.name()).increment(1);
+        info!(
+            "event=refused id={} code={} outcome={} retry_after_ms={} version={} why=\"{}\"",
+            self.id(),
+            refusal.code.number(),
+            refusal.outcome.as_str(),
+            refusal.retry_after.map_or(0, |d| d.as_millis()),
+            self.hub.version().unwrap_or(0),
+            refusal.message,
+        );
         self.log_end(reply.status(), refusal.code.name(), None);
         reply
     }
 
+    /// One line for the choice of an endpoint, with what decided it.
+    fn log_sent(&self, endpoint: &EndpointId) {
+        let now = Instant::now();
+        let load = self.hub.lock().dispatcher.load(endpoint);
+        info!(
+            "event=sent id={} endpoint={endpoint} attempt={} waited_ms={} left_ms={} running={} \
+             unread={} report_ms={} pace={:.1}",
+            self.id(),
+            self.tried.len() + 1,
+            self.arrived.elapsed().as_millis(),
+            self.deadline.saturating_duration_since(now).as_millis(),
+            load.all_running(now),
+            load.all_unread(now),
+            load.report_age(now).map_or(-1, |age| age.as_millis() as i64),
+            load.pace(),
+        );
+    }
+
     /// One line and one observation for the end of the request.
     pub(super) fn log_end(&self, status: StatusCode, how: &str, endpoint: Option<&EndpointId>) {
         let took = self.arrived.elapsed();
         info!(
             "event=request_end id={} route={} model={} status={} how={how} sends={} tried={} \
              endpoint={} first_ms={} gap_ms={} ms={}",
-            String::from_utf8_lossy(&self.id),
+            self.id(),
             self.route.name,
             self.needs.model.as_deref().unwrap_or("-"),
             status.as_u16(),
@@ -487,6 +515,11 @@
         histogram!(names::REQUEST, "class" => class).record(took);
     }
 
+    /// The caller's id of the request.
+    pub(super) fn id(&self) -> std::borrow::Cow<'_, str> {
+        String::from_utf8_lossy(&self.id)
+    }
+
     /// Last event that the caller had before this request.
     pub(super) fn last_event(&self) -> Option<String> {
         platform::last_event(&self.headers)
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -56,7 +56,11 @@
             }
             End::TimeUp => return give_up(&job, &tx, "time_up", &endpoint).await,
             End::Broken(text) => {
-                warn!("event=stream_broken endpoint={endpoint} error=\"{text}\"");
+                warn!(
+                    "event=stream_broken id={} endpoint={endpoint} last={:?} error=\"{text}\"",
+                    job.id(),
+                    events.last()
+                );
             }
         }
         job.broke_off(&endpoint);
@@ -69,7 +73,12 @@
         };
         match next {
             Ok(next) if next.response.status().is_success() => {
-                info!("event=stream_resumed endpoint={} after={:?}", next.endpoint, events.last());
+                info!(
+                    "event=stream_resumed id={} endpoint={} after={:?}",
+                    job.id(),
+                    next.endpoint,
+                    events.last()
+                );
                 job.head_came();
                 answer = next;
             }
--- /dev/null
+++ b/tests/forwarding.rs
@@ -0,0 +1,309 @@
+//! Waiting, refusing and choosing, in virtual time.
+
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use goldcrestpitch::core::{
+    forwarding::{
+        Change, Dispatcher, EndpointBook, EndpointState, EngineSpec, HeldModel, Kind, ModelSpec,
+        Needs, Place, Registration, Reported, Residency, Route, RouteTable, Service, Share, Ticket,
+        Verdict, Why,
+    },
+    ids::EndpointId,
+};
+
+const TARGET: Duration = Duration::from_millis(1000);
+const READ_TOKENS_PER_MS: f64 = 19.2;
+
+fn route(priority: u8) -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        kind: Kind::Streaming { resumable: true },
+        timeout: Duration::from_secs(15),
+        target: TARGET,
+        priority,
+        shares: vec![Share { service: "llm".into(), weight: 1 }],
+        max_attempts: 2,
+    }
+}
+
+fn table() -> RouteTable {
+    let model = ModelSpec {
+        weights: 34,
+        adapter: 1,
+        load: Duration::from_millis(5400),
+        disk_load: Duration::from_millis(1100),
+    };
+    let models = ["m", "n"].map(|name| (name.into(), model.clone()));
+    let engine = EngineSpec {
+        slots: 64,
+        kv_tokens: 120_000,
+        weights: 83,
+        adapter_slots: 8,
+        loads_per_s: 1.8,
+        models: HashMap::from(models),
+    };
+    let llm = Service { name: "llm".into(), max_connections: 600, engine: Some(engine) };
+    let desk = Service { name: "desk".into(), max_connections: 100, engine: None };
+    RouteTable::new(1, vec![route(1)], vec![llm, desk], None)
+}
+
+fn engine(id: &str, zone: &str, held: &[(&str, &[&str])]) -> Registration {
+    let held = held.iter().map(|(name, adapters)| HeldModel {
+        name: (*name).into(),
+        adapters: adapters.iter().map(|a| Arc::from(*a)).collect(),
+    });
+    Registration {
+        id: id.into(),
+        service: "llm".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: zone.into(),
+        state: EndpointState::Ready,
+        slots: 64,
+        born: 1,
+        seq: 0,
+        residency: Residency { held: held.collect(), at_hand: Vec::new(), busy: false },
+    }
+}
+
+fn book(engines: &[Registration]) -> EndpointBook {
+    let mut book = EndpointBook::default();
+    for engine in engines {
+        book.apply(Instant::now(), Change::Registered(engine.clone()), false);
+    }
+    book
+}
+
+fn needs(model: &str, adapter: Option<&str>, tokens: u32) -> Needs {
+    Needs {
+        model: Some(model.into()),
+        adapter: adapter.map(Into::into),
+        prompt_tokens: tokens,
+        output_tokens: 100,
+        parts: Vec::new(),
+    }
+}
+
+struct Gateway {
+    dispatcher: Dispatcher,
+    table: RouteTable,
+    book: EndpointBook,
+    now: Instant,
+}
+
+impl Gateway {
+    fn new(engines: &[Registration]) -> Self {
+        let regions = HashMap::from([("east".into(), "r1".into()), ("west".into(), "r2".into())]);
+        let place = Place { zone: "east".into(), regions };
+        Self {
+            dispatcher: Dispatcher::new(place, 5),
+            table: table(),
+            book: book(engines),
+            now: Instant::now(),
+        }
+    }
+
+    fn ask(&mut self, priority: u8, needs: Needs) -> Ticket {
+        let deadline = self.now + Duration::from_secs(15);
+        let route = route(priority);
+        self.dispatcher.ask(self.now, &route, "llm".into(), needs, deadline, Vec::new())
+    }
+
+    fn poll(&mut self) -> HashMap<Ticket, Verdict> {
+        self.dispatcher.poll(self.now, &self.table, &self.book).into_iter().collect()
+    }
+
+    fn pass(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+    }
+}
+
+fn sent_to(verdicts: &HashMap<Ticket, Verdict>, ticket: Ticket) -> Option<&EndpointId> {
+    match verdicts.get(&ticket)? {
+        Verdict::Send(endpoint) => Some(endpoint),
+        Verdict::Refuse(..) => None,
+    }
+}
+
+#[test]
+fn in_a_burst_the_unread_prompts_of_an_engine_are_bounded() {
+    let engines = [engine("a", "east", &[("m", &[])]), engine("b", "east", &[("m", &[])])];
+    let mut gateway = Gateway::new(&engines);
+    let tickets: Vec<Ticket> = (0..40).map(|_| gateway.ask(1, needs("m", None, 900))).collect();
+    let verdicts = gateway.poll();
+    for id in ["a", "b"] {
+        let unread = gateway.dispatcher.load(id).unread_tokens();
+        // Two steps that read them stay under a pause of 300 ms.
+        assert!(unread as f64 / READ_TOKENS_PER_MS < 300.0, "{id}: {unread}");
+        assert!(0 < unread);
+    }
+    let sent = tickets.iter().filter(|t| sent_to(&verdicts, **t).is_some()).count();
+    assert!(sent < tickets.len());
+    assert!(verdicts.values().all(|v| matches!(v, Verdict::Send(_))), "the others wait");
+}
+
+#[test]
+fn a_prompt_that_is_larger_than_the_bound_is_served_like_others() {
+    let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
+    let large = gateway.ask(1, needs("m", None, 9_000));
+    assert!(sent_to(&gateway.poll(), large).is_some());
+}
+
+#[test]
+fn the_more_urgent_goes_first_and_among_equals_who_can_be_on_time() {
+    let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
+    let running = gateway.ask(1, needs("m", None, 2_000));
+    assert!(sent_to(&gateway.poll(), running).is_some());
+    let late = gateway.ask(1, needs("m", None, 1_500));
+    gateway.pass(900);
+    let in_time = gateway.ask(1, needs("m", None, 1_500));
+    let less = gateway.ask(2, needs("m", None, 1_500));
+    let urgent = gateway.ask(0, needs("m", None, 1_500));
+    assert!(gateway.poll().is_empty(), "the engine is still reading");
+    let mut order = Vec::new();
+    let mut before = running;
+    for _ in 0..4 {
+        gateway.dispatcher.answered(gateway.now, before);
+        let verdicts = gateway.poll();
+        assert_eq!(verdicts.len(), 1);
+        before = *verdicts.keys().next().unwrap();
+        order.push(before);
+    }
+    assert_eq!(order, [urgent, in_time, late, less]);
+}
+
+#[test]
+fn who_cannot_be_served_is_refused_and_told_when_to_come_back() {
+    let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
+    gateway.ask(1, needs("m", None, 2_000));
+    gateway.poll();
+    let waits = gateway.ask(1, needs("m", None, 1_500));
+    assert!(gateway.poll().is_empty());
+    gateway.pass(2_500);
+    let verdicts = gateway.poll();
+    let Some(Verdict::Refuse(Why::Full, delay)) = verdicts.get(&waits) else {
+        panic!("{verdicts:?}");
+    };
+    assert!(Duration::from_millis(500) < *delay);
+}
+
+#[test]
+fn a_request_waits_for_a_model_within_its_time() {
+    let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
+    let waits = gateway.ask(1, needs("n", None, 100));
+    gateway.pass(4_000);
+    assert!(gateway.poll().is_empty());
+    let wanted = gateway.dispatcher.unserved(&gateway.book);
+    assert_eq!(wanted.get(&("llm".into(), "n".into())), Some(&1));
+    // An engine has loaded it.
+    gateway.book.set_told("a", Some(engine("a", "east", &[("n", &[])]).residency));
+    assert!(sent_to(&gateway.poll(), waits).is_some());
+    let never = gateway.ask(1, needs("m", None, 100));
+    gateway.pass(7_000);
+    assert!(matches!(gateway.poll()[&never], Verdict::Refuse(Why::NotResident, _)));
+}
+
+#[test]
+fn what_cannot_be_served_at_all_is_refused_at_once() {
+    let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
+    let unknown = gateway.ask(1, needs("none", None, 100));
+    assert!(matches!(gateway.poll()[&unknown], Verdict::Refuse(Why::UnknownModel, _)));
+}
+
+#[test]
+fn an_adapter_is_loaded_where_the_wait_is_shortest() {
+    let engines = [engine("a", "east", &[("m", &["x"])]), engine("b", "east", &[("m", &[])])];
+    let mut gateway = Gateway::new(&engines);
+    // The engine that holds the adapter serves while it is free.
+    let first = gateway.ask(1, needs("m", Some("x"), 1_900));
+    assert_eq!(sent_to(&gateway.poll(), first).unwrap().as_ref(), "a");
+    // Then the other is asked to load it, once for all that wait.
+    let second = gateway.ask(1, needs("m", Some("x"), 1_900));
+    gateway.ask(1, needs("m", Some("x"), 1_900));
+    assert!(gateway.poll().is_empty());
+    let wanted: Vec<_> = gateway.dispatcher.wanted().map(|w| w.endpoint.to_string()).collect();
+    assert_eq!(wanted, ["b"]);
+    gateway.book.set_told("b", Some(engine("b", "east", &[("m", &["x"])]).residency));
+    assert_eq!(sent_to(&gateway.poll(), second).unwrap().as_ref(), "b");
+}
+
+#[test]
+fn the_near_engine_is_chosen_until_it_is_busier_than_the_way() {
+    let engines = [engine("far", "west", &[("m", &[])]), engine("near", "east", &[("m", &[])])];
+    let mut gateway = Gateway::new(&engines);
+    let first = gateway.ask(1, needs("m", None, 1_900));
+    assert_eq!(sent_to(&gateway.poll(), first).unwrap().as_ref(), "near");
+    let second = gateway.ask(1, needs("m", None, 1_900));
+    assert_eq!(sent_to(&gateway.poll(), second).unwrap().as_ref(), "far");
+}
+
+#[test]
+fn a_slow_engine_gets_less() {
+    let engines = [engine("a", "east", &[("m", &[])]), engine("b", "east", &[("m", &[])])];
+    let mut gateway = Gateway::new(&engines);
+    let mut sent = HashMap::new();
+    for _ in 0..200 {
+        let ticket = gateway.ask(1, needs("m", None, 600));
+        gateway.ask(1, needs("m", None, 600));
+        for (ticket, verdict) in gateway.poll() {
+            let Verdict::Send(endpoint) = verdict else { continue };
+            *sent.entry(endpoint.to_string()).or_insert(0) += 1;
+            // Engine b takes ten times as long to the first token.
+            gateway.pass(if &*endpoint == "b" { 1_200 } else { 60 });
+            gateway.dispatcher.answered(gateway.now, ticket);
+            gateway.dispatcher.end(ticket);
+        }
+        gateway.dispatcher.end(ticket);
+    }
+    assert!(sent["b"] < sent["a"], "{sent:?}");
+}
+
+#[test]
+fn the_load_of_other_gateways_counts_while_reports_are_fresh() {
+    let engines = [engine("a", "east", &[("m", &[])]), engine("b", "east", &[("m", &[])])];
+    let mut gateway = Gateway::new(&engines);
+    let busy = Reported { active: 30, queued: 3, unread: 3, kv_used: 1, kv_total: 100 };
+    gateway.dispatcher.reported(gateway.now, &"a".into(), busy);
+    for _ in 0..3 {
+        let ticket = gateway.ask(1, needs("m", None, 100));
+        assert_eq!(sent_to(&gateway.poll(), ticket).unwrap().as_ref(), "b");
+        gateway.dispatcher.end(ticket);
+    }
+    // An old report says nothing of now.
+    gateway.pass(5_000);
+    assert_eq!(gateway.dispatcher.load("a").all_running(gateway.now), 0);
+}
+
+#[test]
+fn a_full_memory_takes_no_further_request() {
+    let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
+    let full = Reported { active: 9, queued: 0, unread: 0, kv_used: 95, kv_total: 100 };
+    gateway.dispatcher.reported(gateway.now, &"a".into(), full);
+    gateway.ask(1, needs("m", None, 100));
+    assert!(gateway.poll().is_empty());
+}
+
+#[test]
+fn when_the_process_stops_waiting_ends() {
+    let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
+    let waits = gateway.ask(1, needs("n", None, 100));
+    gateway.dispatcher.stop_waiting(gateway.now + Duration::from_millis(500));
+    gateway.pass(600);
+    assert!(matches!(gateway.poll()[&waits], Verdict::Refuse(Why::NotResident, _)));
+}
+
+#[test]
+fn many_rare_models_are_all_told_to_the_planner() {
+    let mut gateway = Gateway::new(&[engine("a", "east", &[])]);
+    for model in ["m", "n", "m"] {
+        gateway.ask(1, needs(model, None, 100));
+    }
+    let unserved = gateway.dispatcher.unserved(&gateway.book);
+    assert_eq!(unserved[&("llm".into(), "m".into())], 2);
+    assert_eq!(unserved[&("llm".into(), "n".into())], 1);
+}
