--- a/src/core/placement/demand.rs
+++ b/src/core/placement/demand.rs
@@ -35,7 +35,7 @@
 /// use std::time::{Duration, Instant};
 /// use goldcrestpitch::core::{forwarding::Needs, placement::DemandMeter};
 /// let start = Instant::now();
-/// let mut meter = DemandMeter::new(start);
+/// let mut meter = DemandMeter::new();
 /// let needs = Needs { model: Some("m".into()), prompt_tokens: 100, ..Needs::default() };
 /// for i in 0..100 {
 ///     meter.request(start + Duration::from_millis(100 * i), &"s".into(), &needs);
@@ -43,21 +43,15 @@
 /// let rate = meter.rates(start + Duration::from_secs(10))[0].2;
 /// assert!((900.0..1100.0).contains(&rate), "{rate}");
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct DemandMeter {
     rates: HashMap<(ServiceName, ModelName), Rate>,
-    started: Instant,
 }
 
 impl DemandMeter {
     /// A meter that has seen nothing.
-    pub fn new(now: Instant) -> Self {
-        Self { rates: HashMap::new(), started: now }
-    }
-
-    /// When the meter began to count.
-    pub fn started(&self) -> Instant {
-        self.started
+    pub fn new() -> Self {
+        Self::default()
     }
 
     /// Counts a request that names a model.
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -92,7 +92,7 @@
             book: EndpointBook::default(),
             dispatcher: Dispatcher::new(place, seed),
             suspects: Suspects::new(MAX_BREAKS),
-            demand: DemandMeter::new(Instant::now()),
+            demand: DemandMeter::new(),
             processes: 1,
             budgets: HashMap::new(),
             asking: HashMap::new(),
