A request whose time is up blames no endpoint

Cause, found in reading: a request whose time ended between the choice of an endpoint and the sending closed the endpoint's idle connections and had it avoided for 1.5 s. Test: a_request_without_time_is_refused_and_no_endpoint_is_blamed (before: 6 connections for 2 requests; now 1).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -75,6 +75,10 @@
                     return Err(if self.runs == 0 { refusal } else { self.failed() });
                 }
             };
+            if self.deadline <= Instant::now() {
+                // No fault of the endpoint, which has seen nothing of it.
+                return Err(self.out_of_time());
+            }
             if 0 < self.sends && !self.pay() {
                 return Err(self.given_up());
             }
@@ -198,9 +202,6 @@
         last_event: Option<&str>,
     ) -> Result<Response<Incoming>, Failed> {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(Failed::NotSent("no time is left".to_owned()));
-        }
         let sent = Sent { endpoint, deadline: left, priority: self.route.priority, last_event };
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.method.clone();
--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -386,3 +386,20 @@
         assert_eq!(endpoint.seen()[1].id(), "q2");
     });
 }
+
+#[test]
+fn a_request_without_time_is_refused_and_no_endpoint_is_blamed() {
+    run(async {
+        let endpoint = good().await;
+        let bed = Bed::start(&[&endpoint]).await;
+        bed.call("GET", "/read/1", "", "").await;
+        for i in 0..4 {
+            let more = format!("x-request-id: late{i}\r\nx-deadline-ms: 0\r\n");
+            let got = bed.call("POST", "/book/1", &more, "").await;
+            assert_eq!((got.status, got.whole), (503, true));
+        }
+        assert_eq!(bed.call("GET", "/read/1", "x-request-id: q2\r\n", "").await.status, 200);
+        // Only the two requests with time reached it, on the connection that was kept.
+        assert_eq!((endpoint.seen().len(), endpoint.connections()), (2, 1));
+    });
+}
