--- a/tests/gateway/config.rs
+++ b/tests/gateway/config.rs
@@ -34,6 +34,10 @@
         bed.configure(9, &[route("/new/", "idempotent", 2)]).await;
         bed.wait_version(9).await;
         bed.configure(4, &routes()).await;
+        // So many reads later it was seen for certain.
+        let (before, _) = bed.log.reads();
+        bed.wait(|bed| before + 4 <= bed.log.reads().0).await;
+        assert_eq!(bed.gateway.hub().version(), Some(9));
         // The next version shows that the older one was read and passed over.
         bed.configure(10, &[route("/new/", "idempotent", 2), route("/x/", "idempotent", 1)]).await;
         bed.wait(|bed| bed.gateway.hub().version() != Some(9)).await;
