--- a/src/core/forwarding/choice.rs
+++ b/src/core/forwarding/choice.rs
@@ -18,19 +18,20 @@
 /// Prompt tokens that an engine reads in a millisecond. Source: the operators'
 /// sheet; the measured pace of an endpoint corrects it.
 pub(super) const READ_TOKENS_PER_MS: f64 = 19.2;
-/// Prompt length that is assumed for other processes' requests, tokens.
-pub(super) const MEAN_PROMPT_TOKENS: u64 = 1200;
 /// Time to a first token that reading the prompt does not explain.
 pub(super) const BASE_FIRST_TOKEN: Duration = Duration::from_millis(90);
 /// Usual time of a plain answer.
 pub(super) const BASE_ANSWER: Duration = Duration::from_millis(60);
 
-/// Prompt tokens that may wait at an engine: two steps that read them stay
-/// under the pause of 300 ms that a stream may have.
-const MAX_UNREAD_TOKENS: u64 = 4500;
-/// Prompt tokens of this process alone that may wait at an engine. Others send
-/// at the same time, and reports tell of that later.
-const MAX_OWN_UNREAD_TOKENS: u64 = 2000;
+/// Prompt tokens that an engine may have to read within the pause of 300 ms that
+/// a stream may have: what it reads in that time, less the steps between.
+const MAX_READING_TOKENS: f64 = 4500.0;
+/// The same of this process alone at an engine that is others' to use first.
+const MAX_FOREIGN_TOKENS: f64 = 900.0;
+/// Share of a limit up to which an engine takes a prompt of any length.
+const ANY_PROMPT_SHARE: f64 = 0.3;
+/// What a request may wait longer at an engine that is this process's to use first.
+const FOREIGN_COST_MS: f64 = 40.0;
 /// Share of an engine's memory beyond which it gets no further request.
 const MAX_MEMORY_SHARE: f64 = 0.9;
 /// Time that a byte takes to another region and back.
@@ -42,9 +43,11 @@
 const JITTER_MS: f64 = 30.0;
 /// What a request may wait longer at an endpoint that has its adapter rather
 /// than have it loaded at another: the order, its way and the load.
-const ADAPTER_COST_MS: f64 = 120.0;
+const ADAPTER_COST_MS: f64 = 200.0;
 /// The same while the adapter is being loaded for another request.
 const ADAPTER_COMING_MS: f64 = 40.0;
+/// What endpoints differ by in the choice for an adapter that none of them has.
+const SPREAD_MS: f64 = 80.0;
 /// An endpoint that is left alone is chosen only before one that is full.
 const AVOIDED_COST_MS: f64 = 10_000.0;
 
@@ -58,6 +61,11 @@
 }
 
 impl Place {
+    /// Order of availability zones, those of a region together.
+    pub fn order(&self, zone: &str) -> (Option<Arc<str>>, Arc<str>) {
+        (self.regions.get(zone).cloned(), zone.into())
+    }
+
     fn cost_ms(&self, zone: &str) -> f64 {
         if *self.zone == *zone {
             return 0.0;
@@ -88,19 +96,19 @@
         waiting: &Waiting,
     ) -> Choice {
         let mut best: Option<(f64, EndpointId, Option<Wanted>)> = None;
-        let mut usable = false;
-        let mut resident = false;
-        for endpoint in book.iter() {
-            let of_service = endpoint.registration.service == waiting.service;
-            if !of_service || !endpoint.is_usable() || waiting.tried.contains(endpoint.id()) {
-                continue;
-            }
-            usable = true;
-            if service.engine.is_some() && !holds(endpoint, &waiting.needs) {
-                continue;
-            }
-            resident = true;
-            let Some(score) = self.score(now, service, endpoint, &waiting.needs) else { continue };
+        let of_service = |e: &&Endpoint| e.registration.service == waiting.service;
+        let untried = |e: &&Endpoint| !waiting.tried.contains(e.id());
+        let mut able: Vec<&Endpoint> =
+            book.iter().filter(of_service).filter(|e| e.is_usable()).collect();
+        let usable = able.iter().any(untried);
+        able.retain(|e| service.engine.is_none() || holds(e, &waiting.needs));
+        able.sort_by_key(|e| self.place.order(&e.registration.zone));
+        let resident = able.iter().any(untried);
+        let of = able.len();
+        for (at, endpoint) in able.into_iter().enumerate().filter(|(_, e)| untried(e)) {
+            let part = self.sharing.part(at, of);
+            let score = self.score(now, service, endpoint, &waiting.needs, part);
+            let Some(score) = score else { continue };
             let lacking = service.engine.as_ref().and_then(|_| lacking(endpoint, &waiting.needs));
             let cost = lacking.as_ref().map_or(0.0, |w| match self.wanted.contains_key(w) {
                 true => ADAPTER_COMING_MS,
@@ -121,6 +129,7 @@
         service: &Service,
         endpoint: &Endpoint,
         needs: &Needs,
+        part: f64,
     ) -> Option<f64> {
         let avoided = self.avoided.get(endpoint.id()).is_some_and(|until| now < *until);
         let load = self.load(endpoint.id());
@@ -143,27 +152,38 @@
         let slots = if engine.slots == 0 { endpoint.registration.slots } else { engine.slots };
         let full = slots <= load.all_running(now)
             || MAX_MEMORY_SHARE <= load.memory_share(now, engine.kv_tokens);
-        let backlog = load.backlog_tokens(now, MEAN_PROMPT_TOKENS);
-        let prompt = u64::from(needs.prompt_tokens);
-        let own = load.unread_tokens();
-        let too_much = 0 < backlog && MAX_UNREAD_TOKENS < backlog + prompt;
-        if full || too_much || (0 < own && MAX_OWN_UNREAD_TOKENS < own + prompt) {
+        let reading = load.reading_tokens(now);
+        let prompt = f64::from(self.tokens_to_read(endpoint.id(), needs));
+        let own = load.own_reading_tokens(now);
+        let own_limit = MAX_FOREIGN_TOKENS.max(part * MAX_READING_TOKENS);
+        if full || !fits(prompt, reading, MAX_READING_TOKENS) || !fits(prompt, own, own_limit) {
             return None;
         }
-        let saved = self.kept_tokens(endpoint.id(), needs);
-        let tokens = (backlog + prompt) as f64 - f64::from(saved);
-        let first = BASE_FIRST_TOKEN.as_secs_f64() * 1e3 + tokens / READ_TOKENS_PER_MS;
-        Some(first * load.pace() + f64::from(load.all_running(now)) * 0.5 + near + jitter)
+        let foreign = match &needs.adapter {
+            None if part == 0.0 => FOREIGN_COST_MS,
+            None => 0.0,
+            // Processes agree where an adapter is best loaded.
+            Some(adapter) => {
+                hash::unit(&[endpoint.id().as_bytes(), adapter.as_bytes()]) * SPREAD_MS
+            }
+        };
+        let first = BASE_FIRST_TOKEN.as_secs_f64() * 1e3 + (reading + prompt) / READ_TOKENS_PER_MS;
+        Some(first * load.pace() + f64::from(load.all_running(now)) * 0.5 + near + foreign + jitter)
     }
 
-    /// Tokens of the prompt's first parts that the endpoint has read before.
-    fn kept_tokens(&self, endpoint: &str, needs: &Needs) -> u32 {
-        let Some(kept) = self.parts.get(endpoint) else { return 0 };
+    /// Tokens of the prompt without its first parts that the endpoint has read before.
+    pub(super) fn tokens_to_read(&self, endpoint: &str, needs: &Needs) -> u32 {
+        let Some(kept) = self.parts.get(endpoint) else { return needs.prompt_tokens };
         let known = needs.parts.iter().take_while(|p| kept.contains(&part_key(needs, p.id)));
-        known.map(|p| p.tokens).sum()
+        needs.prompt_tokens.saturating_sub(known.map(|p| p.tokens).sum())
     }
 }
 
+/// Whether a prompt may follow what an engine already reads.
+fn fits(prompt: f64, reading: f64, limit: f64) -> bool {
+    reading <= (limit - prompt).max(limit * ANY_PROMPT_SHARE)
+}
+
 fn holds(endpoint: &Endpoint, needs: &Needs) -> bool {
     needs.model.as_ref().is_none_or(|model| endpoint.residency().holds(model, None))
 }
--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -15,9 +15,10 @@
 use crate::core::{
     forwarding::{
         EndpointBook, EndpointLoad, Kind, Needs, Reported, Route, RouteTable, Service, ServiceName,
+        Sharing,
         choice::{
-            BASE_ANSWER, BASE_FIRST_TOKEN, Choice, MEAN_PROMPT_TOKENS, Place, READ_TOKENS_PER_MS,
-            part_key, unknown_model,
+            BASE_ANSWER, BASE_FIRST_TOKEN, Choice, Place, READ_TOKENS_PER_MS, part_key,
+            unknown_model,
         },
     },
     ids::{EndpointId, ModelName},
@@ -42,6 +43,9 @@
 /// Prompt parts that are remembered per endpoint.
 const MAX_PARTS: usize = 512;
 
+/// A model, or an adapter of it.
+pub type Item = (ModelName, Option<Arc<str>>);
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Why {
@@ -86,6 +90,7 @@
     sent: Instant,
     expected: Duration,
     answered: bool,
+    item: Option<Item>,
 }
 
 /// An adapter that an endpoint is to load, since requests wait for it there.
@@ -104,19 +109,20 @@
 pub struct Dispatcher {
     pub(super) place: Place,
     pub(super) rng: fastrand::Rng,
-    pub(super) next: Ticket,
+    next: Ticket,
     // By urgency, then by order of arrival.
-    pub(super) waiting: BTreeMap<(u8, Ticket), Waiting>,
+    waiting: BTreeMap<(u8, Ticket), Waiting>,
     running: HashMap<Ticket, Running>,
-    pub(super) loads: HashMap<EndpointId, EndpointLoad>,
+    loads: HashMap<EndpointId, EndpointLoad>,
     pub(super) avoided: HashMap<EndpointId, Instant>,
     pub(super) parts: HashMap<EndpointId, Vec<u64>>,
     // When the load of an adapter was first wanted.
     pub(super) wanted: HashMap<Wanted, Instant>,
-    pub(super) used: HashMap<EndpointId, HashSet<(ModelName, Arc<str>)>>,
+    used: HashMap<EndpointId, HashSet<Item>>,
     pub(super) processes: usize,
+    pub(super) sharing: Sharing,
     // Requests that still wait then are refused: the process ends soon after.
-    pub(super) last_wait: Option<Instant>,
+    last_wait: Option<Instant>,
 }
 
 impl Dispatcher {
@@ -134,15 +140,31 @@
             wanted: HashMap::new(),
             used: HashMap::new(),
             processes: 1,
+            sharing: Sharing::ALONE,
             last_wait: None,
         }
     }
 
+    /// Where this process stands.
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
     /// Sets how many processes share the endpoints' connections.
     pub fn set_processes(&mut self, processes: usize) {
         self.processes = processes.max(1);
     }
 
+    /// Sets which part of the engines this process uses first.
+    pub fn set_sharing(&mut self, sharing: Sharing) {
+        self.sharing = sharing;
+    }
+
+    /// How many processes share them.
+    pub fn processes(&self) -> usize {
+        self.processes
+    }
+
     /// The process stops: requests wait until then at most.
     pub fn stop_waiting(&mut self, at: Instant) {
         self.last_wait = Some(at);
@@ -204,7 +226,7 @@
 
     /// The load of an endpoint.
     pub fn load(&self, endpoint: &str) -> EndpointLoad {
-        self.loads.get(endpoint).copied().unwrap_or_default()
+        self.loads.get(endpoint).cloned().unwrap_or_default()
     }
 
     /// Forgets endpoints that are gone.
@@ -225,10 +247,15 @@
         self.wanted.keys()
     }
 
-    /// Adapters that were used at an endpoint since the last call.
-    pub fn take_used(&mut self, endpoint: &str) -> Vec<(ModelName, Arc<str>)> {
-        let used = self.used.remove(endpoint).unwrap_or_default();
-        used.into_iter().collect()
+    /// Models and adapters that are in use at endpoints, or were since the last call.
+    pub fn take_used(&mut self) -> HashMap<EndpointId, HashSet<Item>> {
+        let mut used = std::mem::take(&mut self.used);
+        for running in self.running.values() {
+            if let Some(item) = &running.item {
+                used.entry(running.endpoint.clone()).or_default().insert(item.clone());
+            }
+        }
+        used
     }
 
     /// Waiting requests by model, for models that no usable endpoint holds.
@@ -329,27 +356,30 @@
 
     fn start(&mut self, now: Instant, waiting: &Waiting, endpoint: &EndpointId) {
         let needs = &waiting.needs;
+        let prompt_tokens = self.tokens_to_read(endpoint, needs);
         let load = self.loads.entry(endpoint.clone()).or_default();
-        let backlog = load.backlog_tokens(now, MEAN_PROMPT_TOKENS);
-        let tokens = backlog + u64::from(needs.prompt_tokens);
+        let backlog = load.backlog_tokens(now);
+        let tokens = backlog + u64::from(prompt_tokens);
         let expected = match waiting.kind {
             Kind::Streaming { .. } => {
                 BASE_FIRST_TOKEN + Duration::from_secs_f64(tokens as f64 / READ_TOKENS_PER_MS / 1e3)
             }
             _ => BASE_ANSWER,
         };
-        load.sent(needs.prompt_tokens, needs.memory_tokens());
+        load.sent(now, prompt_tokens, needs.memory_tokens());
         let running = Running {
             endpoint: endpoint.clone(),
-            prompt_tokens: needs.prompt_tokens,
+            prompt_tokens,
             memory_tokens: needs.memory_tokens(),
             sent: now,
             expected,
             answered: false,
+            item: needs.model.clone().map(|m| (m, needs.adapter.clone())),
         };
+        let item = running.item.clone();
         self.running.insert(waiting.ticket, running);
-        if let Some(adapter) = needs.model.clone().zip(needs.adapter.clone()) {
-            self.used.entry(endpoint.clone()).or_default().insert(adapter);
+        if let Some(item) = item {
+            self.used.entry(endpoint.clone()).or_default().insert(item);
         }
         let kept = self.parts.entry(endpoint.clone()).or_default();
         for part in &needs.parts {
--- a/src/core/forwarding/load.rs
+++ b/src/core/forwarding/load.rs
@@ -1,16 +1,24 @@
 //! What an endpoint has to do, by our own sends and by what it reports.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
 // A report older than this says nothing about the present queue.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
+// Prompts that were sent so lately count as work of the present: a stream that
+// must not pause for longer sees what is read meanwhile.
+const READ_WINDOW: Duration = Duration::from_millis(300);
+// Prompt length that is assumed for other processes' requests, tokens.
+const MEAN_PROMPT_TOKENS: u64 = 1200;
 // Part of a new observation in the running mean of the pace.
 const PACE_WEIGHT: f64 = 0.15;
 const MIN_PACE: f64 = 0.5;
 const MAX_PACE: f64 = 20.0;
 
 /// What an engine reports of its work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Reported {
     /// Requests in its batch.
     pub active: u32,
@@ -18,6 +26,8 @@
     pub queued: u32,
     /// Requests, waiting or in the batch, without a first token.
     pub unread: u32,
+    /// Prompt tokens of the requests that came lately.
+    pub recent_tokens: u64,
     /// Memory that cannot yield, tokens.
     pub kv_used: u64,
     /// Memory for prompts and answers, tokens.
@@ -30,22 +40,27 @@
     at: Instant,
     own_running: u32,
     own_unread: u32,
+    own_recent: u64,
 }
 
 /// The load of one endpoint, as this process knows it.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct EndpointLoad {
     running: u32,
     unread: u32,
     unread_tokens: u64,
     memory_tokens: u64,
+    // Prompts that were sent within the window.
+    recent: VecDeque<(Instant, u32)>,
     report: Option<Report>,
     pace: Option<f64>,
 }
 
 impl EndpointLoad {
-    /// A request was sent.
-    pub fn sent(&mut self, prompt_tokens: u32, memory_tokens: u64) {
+    /// A request was sent of whose prompt so many tokens are to be read.
+    pub fn sent(&mut self, now: Instant, prompt_tokens: u32, memory_tokens: u64) {
+        self.recent.retain(|(at, _)| now < *at + READ_WINDOW);
+        self.recent.push_back((now, prompt_tokens));
         self.running += 1;
         self.unread += 1;
         self.unread_tokens += u64::from(prompt_tokens);
@@ -70,7 +85,8 @@
     /// The endpoint reported its load.
     pub fn reported(&mut self, now: Instant, reported: Reported) {
         let (own_running, own_unread) = (self.running, self.unread);
-        self.report = Some(Report { reported, at: now, own_running, own_unread });
+        let own_recent = self.recent_tokens(now);
+        self.report = Some(Report { reported, at: now, own_running, own_unread, own_recent });
     }
 
     /// How long a first token took, and how long it was expected to take.
@@ -106,10 +122,28 @@
     }
 
     /// Prompt tokens that are ahead of a new request; those of other processes
-    /// are taken to be `mean_prompt` each.
-    pub fn backlog_tokens(&self, now: Instant, mean_prompt: u64) -> u64 {
+    /// are taken to be of mean length.
+    pub fn backlog_tokens(&self, now: Instant) -> u64 {
         let others = u64::from(self.all_unread(now) - self.unread);
-        self.unread_tokens + others * mean_prompt
+        self.unread_tokens + others * MEAN_PROMPT_TOKENS
+    }
+
+    /// Prompt tokens that keep the endpoint from its running streams at present:
+    /// those that it was sent lately, and older ones that are not read yet.
+    pub fn reading_tokens(&self, now: Instant) -> f64 {
+        let others = self.fresh(now).map_or(0.0, |r| {
+            let told = r.reported.recent_tokens.saturating_sub(r.own_recent) as f64;
+            let age = now.saturating_duration_since(r.at).as_secs_f64();
+            // Of what was told, what came first has left the window meanwhile.
+            told * (1.0 - age / READ_WINDOW.as_secs_f64()).max(0.0)
+        });
+        let recent = self.recent_tokens(now) as f64 + others;
+        recent.max(self.backlog_tokens(now) as f64)
+    }
+
+    /// The same of own requests alone.
+    pub fn own_reading_tokens(&self, now: Instant) -> f64 {
+        self.unread_tokens.max(self.recent_tokens(now)) as f64
     }
 
     /// Share of the endpoint's memory that is taken, from 0 to 1.
@@ -131,6 +165,11 @@
         self.pace.unwrap_or(1.0)
     }
 
+    fn recent_tokens(&self, now: Instant) -> u64 {
+        let recent = self.recent.iter().filter(|(at, _)| now < *at + READ_WINDOW);
+        recent.map(|(_, tokens)| u64::from(*tokens)).sum()
+    }
+
     fn fresh(&self, now: Instant) -> Option<&Report> {
         self.report.as_ref().filter(|r| now < r.at + REPORT_LIFETIME)
     }
--- a/src/core/forwarding/mod.rs
+++ b/src/core/forwarding/mod.rs
@@ -8,10 +8,11 @@
 mod request;
 mod retry_budget;
 mod routes;
+mod sharing;
 mod suspects;
 
 pub use choice::Place;
-pub use dispatcher::{Dispatcher, Ticket, Verdict, Wanted, Why};
+pub use dispatcher::{Dispatcher, Item, Ticket, Verdict, Wanted, Why};
 pub use endpoints::{
     Change, Endpoint, EndpointBook, EndpointState, HeldModel, LAPSE_GRACE, Registration, Residency,
 };
@@ -22,4 +23,5 @@
 pub use routes::{
     EngineSpec, Kind, ModelSpec, Route, RouteTable, SenderLimits, Service, ServiceName, Share,
 };
+pub use sharing::Sharing;
 pub use suspects::Suspects;
--- a/src/core/hash.rs
+++ b/src/core/hash.rs
@@ -20,6 +20,16 @@
     h.finish()
 }
 
+/// A hash of parts as a number from 0 up to 1.
+///
+/// ```
+/// use goldcrestpitch::core::hash::unit;
+/// assert!((0.0..1.0).contains(&unit(&[b"a"])));
+/// ```
+pub fn unit(parts: &[&[u8]]) -> f64 {
+    stable(parts) as f64 / (u64::MAX as f64 + 1.0)
+}
+
 /// Rendezvous hashing: the member of `members` that ranks first for `key`.
 ///
 /// ```
--- a/src/core/placement/fleet_plan.rs
+++ b/src/core/placement/fleet_plan.rs
@@ -31,6 +31,11 @@
 const WISH_LIMIT: Duration = Duration::from_secs(9);
 /// What this planner has not seen for so long it does not judge as too much.
 const WARM_UP: Duration = Duration::from_secs(3);
+/// Prompt tokens a second below which a model counts as not asked for: three
+/// seconds after a request of mean length.
+const UNASKED_TOKENS: f64 = 30.0;
+/// Stands for a demand beyond all: the last copy of a model goes after all others.
+const LAST_COPY: f64 = 1e9;
 /// A model that an engine has just loaded is not given up at once.
 const REST: Duration = Duration::from_secs(4);
 
@@ -45,6 +50,8 @@
     pub at_hand: Vec<ModelName>,
     /// Memory that weights and adapters take, as far as it is known.
     pub taken: Mib,
+    /// Models that requests use.
+    pub in_use: Vec<ModelName>,
     /// The agent beside it follows wishes.
     pub able: bool,
     /// An order is in progress.
@@ -197,6 +204,7 @@
                 .sum();
             let cost = u64::from(from_store) * 100_000
                 + u64::from(!unload.is_empty()) * 20_000
+                + u64::from(unload.iter().any(|m| engine.in_use.contains(m))) * 80_000
                 + asked as u64
                 + u64::from(engine.running) * 50;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
@@ -246,21 +254,28 @@
         }
         let asked = share(demand, wanted, self.copies(engines, wanted) + 1);
         let missing = self.copies(engines, wanted) == 0;
-        let mut victims: Vec<(f64, &ModelName)> = Vec::new();
+        // An unload waits for the runs of its model, and loads wait for the unload.
+        let mut victims: Vec<(bool, f64, &ModelName)> = Vec::new();
         for held in &engine.held {
             let copies = self.copies(engines, held);
             let rested = !self.loaded_at.contains_key(&(engine.id.clone(), held.clone()));
-            if copies < 2 || !rested {
+            if !rested || (copies < 2 && !may_leave(engine, demand, held)) {
+                continue;
+            }
+            let in_use = engine.in_use.contains(held);
+            if copies < 2 {
+                let asked = demand.get(held).map_or(0.0, |d| d.tokens_per_s);
+                victims.push((in_use, LAST_COPY + asked, held));
                 continue;
             }
             let left = share(demand, held, copies - 1);
             let spare = left < SILENT_TOKENS_PER_COPY.max(asked / 2.0);
             if spare || (missing && left < TOKENS_PER_COPY * 2.0) {
-                victims.push((left, held));
+                victims.push((in_use, left, held));
             }
         }
-        victims.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(b.1)));
-        for (_, victim) in victims {
+        victims.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
+        for (_, _, victim) in victims {
             room += spec.models.get(victim).map_or(0, |s| s.weights);
             unload.push(victim.clone());
             if size <= room {
@@ -277,6 +292,17 @@
     }
 }
 
+/// Whether the last copy of a model may go: hardly anybody asks for it, and the
+/// engine loads it again fast.
+fn may_leave(
+    engine: &EngineNow,
+    demand: &HashMap<ModelName, ModelDemand>,
+    model: &ModelName,
+) -> bool {
+    let asked = demand.get(model).map_or(0.0, |d| d.tokens_per_s);
+    asked < UNASKED_TOKENS && !engine.in_use.contains(model) && engine.at_hand.contains(model)
+}
+
 fn share(demand: &HashMap<ModelName, ModelDemand>, model: &ModelName, copies: usize) -> f64 {
     demand.get(model).map_or(0.0, |d| d.tokens_per_s) / copies.max(1) as f64
 }
--- a/src/core/residency/desk.rs
+++ b/src/core/residency/desk.rs
@@ -5,13 +5,13 @@
 //! all orders that are still on their way one at most is carried out.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use crate::core::{
-    forwarding::{EndpointState, EngineSpec, HeldModel},
+    forwarding::{EndpointState, EngineSpec, HeldModel, Item},
     ids::{Mib, ModelName},
     residency::{EngineOrder, EngineView, Operation, OrderAnswer},
 };
@@ -21,10 +21,10 @@
 const WISH_LIFETIME: Duration = Duration::from_millis(1600);
 /// Time until an order that the engine refused is given again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(300);
-/// An adapter that was wanted so lately does not make way.
-const ADAPTER_REST: Duration = Duration::from_millis(300);
-
-type Item = (ModelName, Option<Arc<str>>);
+/// What was in use so lately still is: its unload would wait for its runs, and its
+/// requests would be refused meanwhile. Source: twice the period in which gateways
+/// tell what they use.
+const USE_LIFETIME: Duration = Duration::from_millis(900);
 
 /// Who wishes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,8 +55,8 @@
 ///     ..EngineSpec::default()
 /// };
 /// let empty = EngineView {
-///     residency: Residency::default(), coming: vec![], seq: 0, state: EndpointState::Ready,
-///     reported: Reported { active: 0, queued: 0, unread: 0, kv_used: 0, kv_total: 1 },
+///     residency: Residency::default(), coming: vec![], runs: vec![], seq: 0,
+///     state: EndpointState::Ready, reported: Reported::default(),
 /// };
 /// let now = Instant::now();
 /// let mut desk = Desk::default();
@@ -76,10 +76,13 @@
     fence: Option<u64>,
     wishes: HashMap<Item, Wish>,
     wanted: HashMap<Item, Instant>,
+    in_use: HashMap<ModelName, Instant>,
     // The order that is being sent.
     sending: Option<EngineOrder>,
     // The model whose load was accepted and is not in the reports yet.
     loading: Option<(ModelName, u64)>,
+    // Adapters whose unload was accepted and that are still in the reports.
+    leaving: HashSet<(ModelName, Arc<str>)>,
     quiet_until: Option<Instant>,
 }
 
@@ -104,6 +107,17 @@
         self.view.as_ref()
     }
 
+    /// Whether the answer to an order is awaited. A report that was asked for
+    /// meanwhile may be older than the order and is not to be told.
+    pub fn is_sending(&self) -> bool {
+        self.sending.is_some()
+    }
+
+    /// Whether the last report tells what came of all orders.
+    pub fn is_current(&self) -> bool {
+        self.sending.is_none() && self.view.is_some()
+    }
+
     /// The model that is being loaded.
     pub fn loading(&self) -> Option<&ModelName> {
         self.loading.as_ref().map(|(model, _)| model)
@@ -129,9 +143,17 @@
         self.wishes.insert(item, Wish { operation, until: now + WISH_LIFETIME });
     }
 
-    /// An adapter was used by a request.
-    pub fn used(&mut self, now: Instant, model: ModelName, adapter: Arc<str>) {
-        self.wanted.insert((model, Some(adapter)), now);
+    /// A request uses a model or an adapter of it.
+    pub fn used(&mut self, now: Instant, model: ModelName, adapter: Option<Arc<str>>) {
+        self.in_use.insert(model.clone(), now);
+        if adapter.is_some() {
+            self.wanted.insert((model, adapter), now);
+        }
+    }
+
+    /// Models that requests use.
+    pub fn in_use(&self, now: Instant) -> impl Iterator<Item = &ModelName> {
+        self.in_use.iter().filter(move |(_, at)| now < **at + USE_LIFETIME).map(|(model, _)| model)
     }
 
     /// Memory that weights and adapters take; all of it while that is not known.
@@ -146,12 +168,18 @@
             let wish = self.wishes.get(&(model.clone(), None));
             wish.is_some_and(|w| w.operation == Operation::Unload)
         };
-        view.residency.held.iter().filter(|m| !leaves(&m.name)).cloned().collect()
+        let staying = view.residency.held.iter().filter(|m| !leaves(&m.name)).cloned();
+        let without_leaving = |mut model: HeldModel| {
+            model.adapters.retain(|a| !self.leaving.contains(&(model.name.clone(), a.clone())));
+            model
+        };
+        staying.map(without_leaving).collect()
     }
 
     /// The engine reported. Returns whether what it holds has changed.
     pub fn report(&mut self, now: Instant, view: EngineView) -> bool {
         self.wishes.retain(|_, w| now < w.until);
+        self.in_use.retain(|_, at| now < *at + USE_LIFETIME);
         let changed = self.view.as_ref().is_none_or(|old| {
             old.residency != view.residency || old.state != view.state || old.seq != view.seq
         });
@@ -162,6 +190,8 @@
                 self.loading = None;
             }
         }
+        let present = view.adapters();
+        self.leaving.retain(|item| present.contains(item));
         self.view = Some(view);
         changed
     }
@@ -193,7 +223,10 @@
         };
         let loads_model = order.adapter.is_none() && order.operation == Operation::Load;
         if answer == Some(OrderAnswer::Accepted) && loads_model {
-            self.loading = Some((order.model, order.expected));
+            self.loading = Some((order.model.clone(), order.expected));
+        }
+        if answer == Some(OrderAnswer::Accepted) && order.operation == Operation::Unload {
+            self.leaving.extend(order.adapter.map(|a| (order.model, a)));
         }
         // An order without an answer may be carried out late. It names the number
         // of orders that the next one names too, so that only one of them counts.
@@ -220,9 +253,12 @@
         if present.len() < slots && self.free(spec, view) >= size {
             return Some((Operation::Load, (model, Some(adapter))));
         }
+        if !self.leaving.is_empty() {
+            return None;
+        }
         let rested = |item: &(ModelName, Arc<str>)| {
             let at = self.wanted.get(&(item.0.clone(), Some(item.1.clone()))).copied();
-            let rested = at.is_none_or(|at| at + ADAPTER_REST < now);
+            let rested = at.is_none_or(|at| at + USE_LIFETIME < now);
             rested.then(|| (at, item.clone()))
         };
         let held = present.iter().filter(|item| !view.coming.contains(item));
--- a/src/core/residency/view.rs
+++ b/src/core/residency/view.rs
@@ -18,10 +18,21 @@
     pub seq: u64,
     /// Its load.
     pub reported: Reported,
+    /// Requests in its batch.
+    pub runs: Vec<RunView>,
     /// Whether it is leaving.
     pub state: EndpointState,
 }
 
+/// A request in an engine's batch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunView {
+    /// Id of the request.
+    pub id: Arc<str>,
+    /// Tokens in memory.
+    pub tokens: u64,
+}
+
 impl EngineView {
     /// Adapters that it holds or that are on their way, with their models.
     pub fn adapters(&self) -> Vec<(ModelName, Arc<str>)> {
--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -15,7 +15,7 @@
     core::{
         forwarding::{EndpointState, ServiceName},
         residency::{
-            Desk, EngineOrder, EngineView, Operation, OrderAnswer, OrderError, WishSource,
+            Arrivals, Desk, EngineOrder, EngineView, Operation, OrderAnswer, OrderError, WishSource,
         },
     },
     fleet::{Followed, follow},
@@ -32,6 +32,9 @@
 const REPORT_SOON: Duration = Duration::from_millis(12);
 /// Time between messages to gateways when only the load has changed.
 const TELL_LOAD_EVERY: Duration = Duration::from_millis(200);
+/// The same when nothing has changed. An agent that gateways have not heard for two
+/// seconds counts as silent, and a gateway learns of a new engine after its agent.
+const TELL_EVERY: Duration = Duration::from_millis(600);
 /// A gateway that was not heard for so long gets no more messages.
 const SILENT_AFTER: Duration = Duration::from_millis(2000);
 /// Fencing tokens that one start of an agent may use.
@@ -69,6 +72,7 @@
     desk: Desk,
     // What was last read; the desk forgets it when it gives an order.
     seen: Option<EngineView>,
+    arrivals: Arrivals,
     gateways: HashMap<SocketAddr, Gateway>,
     number: u64,
     engine_lost: bool,
@@ -202,8 +206,10 @@
             };
             take_wish(&mut state.desk, now, source, wish);
         }
-        for (model, adapter) in hello.used.iter().filter_map(|u| u.split_once('/')) {
-            state.desk.used(now, model.into(), adapter.into());
+        for used in &hello.used {
+            let (model, adapter) =
+                used.split_once('/').map_or((&**used, None), |(m, a)| (m, Some(a)));
+            state.desk.used(now, model.into(), adapter.map(Into::into));
         }
         if new {
             info!("event=gateway_heard at={from}");
@@ -234,6 +240,7 @@
             active: view.reported.active,
             queued: view.reported.queued,
             unread: view.reported.unread,
+            recent_tokens: view.reported.recent_tokens,
             kv_used: view.reported.kv_used,
             kv_total: view.reported.kv_total,
             draining: view.state == EndpointState::Draining,
@@ -242,6 +249,7 @@
             started: self.started,
             taken: state.desk.taken(&view),
             able: state.desk.is_able(),
+            in_use: state.desk.in_use(Instant::now()).map(ToString::to_string).collect(),
         };
         for address in gateways.iter().filter(|a| only.is_none_or(|o| **a == o)) {
             self.socket.send(*address, Body::State(message.clone()));
@@ -277,9 +285,11 @@
         }
         wait = REPORT_EVERY;
         let now = Instant::now();
+        let order_under_way = shared.lock().desk.is_sending();
         match shared.engine.report().await {
-            Ok(view) => {
+            Ok(mut view) => {
                 let mut state = shared.lock();
+                view.reported.recent_tokens = state.arrivals.recent_tokens(now, &view.runs);
                 if std::mem::take(&mut state.engine_lost) {
                     info!("event=engine_back seq={}", view.seq);
                 }
@@ -288,9 +298,12 @@
                     != Some((&view.residency, view.state));
                 let unread = view.reported.unread;
                 let before = std::mem::replace(&mut unread_told, unread);
-                state.desk.report(now, view.clone());
+                if !order_under_way {
+                    state.desk.report(now, view.clone());
+                }
                 state.seen = Some(view);
-                if held || before < unread || (load && told + TELL_LOAD_EVERY <= now) {
+                let due = told + if load { TELL_LOAD_EVERY } else { TELL_EVERY };
+                if held || before < unread || due <= now {
                     told = now;
                     shared.tell(&mut state, now, None);
                 }
@@ -307,7 +320,11 @@
         }
         let order = shared.lock().desk.next(now);
         if let Some(order) = order {
-            give(&shared, &order).await;
+            // Gateways go on hearing of the load while an answer is awaited.
+            let shared = shared.clone();
+            tokio::spawn(async move { give(&shared, &order).await });
+        }
+        if !shared.lock().desk.is_current() {
             wait = REPORT_SOON;
         }
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -27,6 +27,7 @@
 /// heartbeat, so that a waiting read would return at once.
 const REGISTRATION_PAUSE: Duration = Duration::from_millis(800);
 const REGISTRATION_WAIT: Duration = Duration::ZERO;
+
 /// The operator's configuration.
 #[derive(Debug)]
 pub(super) struct Routes {
@@ -105,11 +106,10 @@
         let all: Vec<_> = values.filter_map(|(k, v)| self.decode(&k, &v)).collect();
         info!("event=registrations endpoints={}", all.len());
         let now = Instant::now();
-        let mut state = self.hub.lock();
+        let state = &mut *self.hub.lock();
         let lapse = state.is_lapse(now);
         state.book.replace(now, all, lapse);
-        let book = state.book.clone();
-        state.dispatcher.retain(&book);
+        state.dispatcher.retain(&state.book);
     }
 
     fn changed(&mut self, records: Vec<KeyedRecord>) {
@@ -127,12 +127,11 @@
             log_change(&state.book, &change, lapse);
             state.book.apply(now, change, lapse);
         }
-        let mut state = self.hub.lock();
+        let state = &mut *self.hub.lock();
         for id in state.book.expire(now) {
             info!("event=endpoint_lapsed endpoint={id}");
         }
-        let book = state.book.clone();
-        state.dispatcher.retain(&book);
+        state.dispatcher.retain(&state.book);
     }
 
     fn answered(&mut self) {
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -46,7 +46,6 @@
     pub(super) dispatcher: Dispatcher,
     pub(super) suspects: Suspects,
     pub(super) demand: DemandMeter,
-    pub(super) processes: usize,
     // One budget a service.
     budgets: HashMap<ServiceName, RetryBudget>,
     asking: HashMap<Ticket, oneshot::Sender<Placement>>,
@@ -93,7 +92,6 @@
             dispatcher: Dispatcher::new(place, seed),
             suspects: Suspects::new(MAX_BREAKS),
             demand: DemandMeter::new(),
-            processes: 1,
             budgets: HashMap::new(),
             asking: HashMap::new(),
             store_away: false,
@@ -262,7 +260,7 @@
     pub(super) fn may_retry(&self, service: &ServiceName) -> bool {
         let now = Instant::now();
         let mut state = self.lock();
-        let processes = state.processes;
+        let processes = state.dispatcher.processes();
         let bounds = self.bounds;
         let allowed = budget(&mut state.budgets, &bounds, service, now).take(now, processes);
         counter!(names::RETRIES, "allowed" => if allowed { "yes" } else { "no" }).increment(1);
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -230,14 +230,16 @@
         let now = Instant::now();
         let load = self.hub.lock().dispatcher.load(endpoint);
         info!(
-            "event=sent id={} endpoint={endpoint} attempt={} waited_ms={} left_ms={} running={} \
-             unread={} report_ms={} pace={:.1}",
+            "event=sent id={} endpoint={endpoint} attempt={} waited_ms={} left_ms={} tokens={} \
+             running={} unread={} reading={:.0} report_ms={} pace={:.1}",
             self.id(),
             self.tried.len() + 1,
             self.arrived.elapsed().as_millis(),
             self.deadline.saturating_duration_since(now).as_millis(),
+            self.needs.prompt_tokens,
             load.all_running(now),
             load.all_unread(now),
+            load.reading_tokens(now),
             load.report_age(now).map_or(-1, |age| age.as_millis() as i64),
             load.pace(),
         );
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     core::{
-        forwarding::{Place, Wanted},
+        forwarding::{Place, Sharing, Wanted},
         ids::EndpointId,
     },
     gateway::{
@@ -48,6 +48,7 @@
     // Where the address came from may be stale; it is not asked for ever.
     named: Instant,
     serving: bool,
+    zone: String,
     demand: Vec<Demand>,
 }
 
@@ -64,7 +65,7 @@
     loop {
         tokio::select! {
             _ = ticks.tick() => {
-                known.expire(&hub);
+                known.expire(&hub, own);
                 known.tell_peers(&hub, &socket, own);
                 known.tell_agents(&hub, &socket, own, &mut planner);
             }
@@ -82,7 +83,13 @@
 impl Known {
     fn name(&mut self, now: Instant, own: SocketAddr, address: SocketAddr) {
         if address != own {
-            let new = || Heard { at: None, named: now, serving: false, demand: Vec::new() };
+            let new = || Heard {
+                at: None,
+                named: now,
+                serving: false,
+                zone: String::new(),
+                demand: Vec::new(),
+            };
             self.gateways.entry(address).or_insert_with(new).named = now;
         }
     }
@@ -96,6 +103,7 @@
                     heard.at = Some(now);
                     heard.serving = peer.serving;
                     heard.demand = peer.demand;
+                    heard.zone = peer.zone;
                 }
                 self.named(now, own, &peer.gateways);
                 let mut state = hub.lock();
@@ -129,7 +137,13 @@
         if last.is_none() {
             info!("event=agent_heard endpoint={id}");
         }
-        let facts = AgentFacts { at: now, number, taken: told.taken, able: told.able };
+        let facts = AgentFacts {
+            at: now,
+            number,
+            taken: told.taken,
+            able: told.able,
+            in_use: told.in_use.iter().map(|m| m.as_str().into()).collect(),
+        };
         self.agents.insert(id.clone(), facts);
         state.book.set_told(&id, Some(told.residency()));
         state.dispatcher.reported(now, &id, told.reported());
@@ -140,7 +154,7 @@
         hub.pump();
     }
 
-    fn expire(&mut self, hub: &Hub) {
+    fn expire(&mut self, hub: &Hub, own: SocketAddr) {
         let now = Instant::now();
         self.gateways.retain(|_, h| {
             let last = h.at.unwrap_or(h.named).max(h.named);
@@ -159,17 +173,27 @@
             state.book.set_told(&id, None);
         }
         let live = 1 + self.live(now).count();
-        state.processes = live;
         state.dispatcher.set_processes(live);
+        let sharing = self.sharing(now, own, state.dispatcher.place());
+        state.dispatcher.set_sharing(sharing);
         state.demand.expire(now);
         gauge!(names::GATEWAYS).set(live as f64);
     }
 
-    fn live(&self, now: Instant) -> impl Iterator<Item = (&SocketAddr, &Heard)> {
+    fn live(&self, now: Instant) -> impl Iterator<Item = (&SocketAddr, &Heard)> + Clone {
         let heard = move |h: &Heard| h.at.is_some_and(|at| now < at + SILENT_AFTER);
         self.gateways.iter().filter(move |(_, h)| heard(h))
     }
 
+    /// The position of this gateway among those that take requests.
+    fn sharing(&self, now: Instant, own: SocketAddr, place: &Place) -> Sharing {
+        let key = |zone: &str, address| (place.order(zone), address);
+        let here = key(&place.zone, own);
+        let others = self.live(now).filter(|(_, h)| h.serving);
+        let before = others.clone().filter(|(a, h)| key(&h.zone, **a) < here).count();
+        Sharing::new(before, others.count() + 1)
+    }
+
     /// The gateway with the lowest address among those that serve plans for all.
     fn plans(&self, now: Instant, own: SocketAddr, serving: bool) -> bool {
         serving && self.live(now).filter(|(_, h)| h.serving).all(|(address, _)| own < *address)
@@ -178,16 +202,17 @@
     fn tell_peers(&self, hub: &Hub, socket: &Socket, own: SocketAddr) {
         let now = Instant::now();
         let serving = hub.is_ready();
-        let (suspicions, demand) = {
+        let (suspicions, demand, zone) = {
             let state = hub.lock();
             let recent = now.checked_sub(TELL_SUSPICIONS_FOR).unwrap_or(now);
             let told = state.suspects.since(recent).take(MAX_SUSPICIONS);
             let told = told.map(|(fingerprint, breaks)| Suspicion { fingerprint, breaks });
-            (told.collect(), planner::own_demand(now, &state))
+            let zone = state.dispatcher.place().zone.to_string();
+            (told.collect(), planner::own_demand(now, &state), zone)
         };
         let live = self.live(now).map(|(address, _)| *address);
         let gateways = live.chain([own]).take(MAX_NAMED).map(|a| a.to_string()).collect();
-        let peer = Peer { serving, demand, suspicions, gateways };
+        let peer = Peer { serving, demand, suspicions, gateways, zone };
         for address in self.gateways.keys() {
             socket.send(*address, Body::Peer(peer.clone()));
         }
@@ -208,10 +233,14 @@
         for wanted in state.dispatcher.wanted() {
             wishes.entry(wanted.endpoint.clone()).or_default().push(adapter_wish(wanted));
         }
+        let mut all_used = state.dispatcher.take_used();
         for (id, address) in agents(&state, own) {
             let wishes = wishes.remove(&id).unwrap_or_default();
-            let used = state.dispatcher.take_used(&id);
-            let used = used.iter().map(|(m, a)| format!("{m}/{a}")).collect();
+            let used = all_used.remove(&id).unwrap_or_default();
+            let used = used
+                .iter()
+                .map(|(m, a)| a.as_ref().map_or(m.to_string(), |a| format!("{m}/{a}")))
+                .collect();
             socket.send(address, Body::Hello(Hello { serving, plans, wishes, used }));
         }
     }
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -19,12 +19,12 @@
 };
 
 /// A gateway that has just begun to plan first hears the others' demand.
-const LISTEN_FIRST: Duration = Duration::from_millis(900);
+const LISTEN_FIRST: Duration = Duration::from_millis(300);
 /// Most models in one message about demand.
 const MAX_DEMAND: usize = 24;
 
 /// What an agent says of its engine beyond what it holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct AgentFacts {
     /// When it was last heard.
     pub(super) at: Instant,
@@ -34,6 +34,8 @@
     pub(super) taken: Mib,
     /// It can give orders.
     pub(super) able: bool,
+    /// Models that requests use.
+    pub(super) in_use: Vec<ModelName>,
 }
 
 /// Plans of all services.
@@ -90,7 +92,7 @@
     let of_service = state.book.iter().filter(|e| {
         e.registration.service == *service && e.registration.state == EndpointState::Ready
     });
-    let mut engines: Vec<EngineNow> = of_service
+    of_service
         .map(|e| {
             let facts = agents.get(e.id());
             let residency = e.residency();
@@ -99,14 +101,13 @@
                 held: residency.held.iter().map(|m| m.name.clone()).collect(),
                 at_hand: residency.at_hand.clone(),
                 taken: facts.map_or(Mib::MAX, |f| f.taken),
+                in_use: facts.map(|f| f.in_use.clone()).unwrap_or_default(),
                 able: facts.is_some_and(|f| f.able),
                 busy: residency.busy,
                 running: state.dispatcher.load(e.id()).all_running(Instant::now()),
             }
         })
-        .collect();
-    engines.sort_by(|a, b| a.id.cmp(&b.id));
-    engines
+        .collect()
 }
 
 fn by_model(demand: &[Demand], service: &str) -> HashMap<ModelName, ModelDemand> {
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -38,7 +38,7 @@
     /// What it wishes.
     #[prost(message, repeated, tag = "3")]
     pub wishes: Vec<Wish>,
-    /// Adapters that its requests used at the engine lately, as MODEL/ADAPTER.
+    /// What its requests use at the engine, as MODEL or MODEL/ADAPTER.
     #[prost(string, repeated, tag = "4")]
     pub used: Vec<String>,
 }
@@ -129,6 +129,12 @@
     /// The agent can give orders.
     #[prost(bool, tag = "16")]
     pub able: bool,
+    /// Prompt tokens of the requests that came lately.
+    #[prost(uint64, tag = "17")]
+    pub recent_tokens: u64,
+    /// Models that requests of some gateway use.
+    #[prost(string, repeated, tag = "18")]
+    pub in_use: Vec<String>,
 }
 
 impl State {
@@ -151,6 +157,7 @@
             active: self.active,
             queued: self.queued,
             unread: self.unread,
+            recent_tokens: self.recent_tokens,
             kv_used: self.kv_used,
             kv_total: self.kv_total,
         }
@@ -179,6 +186,9 @@
     /// Addresses of the gateways that it hears.
     #[prost(string, repeated, tag = "4")]
     pub gateways: Vec<String>,
+    /// Its availability zone.
+    #[prost(string, tag = "5")]
+    pub zone: String,
 }
 
 /// Demand for a model at one gateway.
--- a/src/gossip/socket.rs
+++ b/src/gossip/socket.rs
@@ -27,6 +27,14 @@
         Ok(Self { socket: UdpSocket::bind(address).await? })
     }
 
+    /// The address that it is bound to.
+    ///
+    /// # Errors
+    /// When the socket fails.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// Sends a message. What is too large or cannot be sent now is dropped: the
     /// next one says the same. Returns whether it was sent.
     pub fn send(&self, to: SocketAddr, body: Body) -> bool {
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -8,7 +8,7 @@
 use crate::{
     core::{
         forwarding::{EndpointState, Reported},
-        residency::{EngineOrder, EngineView, Operation, OrderAnswer, OrderError},
+        residency::{EngineOrder, EngineView, Operation, OrderAnswer, OrderError, RunView},
     },
     http::{Client, ClientError},
     platform::{
@@ -68,6 +68,8 @@
 impl From<ReportWire> for EngineView {
     fn from(wire: ReportWire) -> Self {
         let silent = wire.runs.iter().filter(|(_, _, events, _)| *events == 0).count() as u32;
+        let runs = wire.runs.iter();
+        let runs = runs.map(|(id, tokens, ..)| RunView { id: id.as_str().into(), tokens: *tokens });
         let coming = wire.coming.iter().filter_map(|c| {
             let (model, adapter) = c.split_once('/')?;
             let name = adapter.split_once('@').map_or(adapter, |(name, _)| name);
@@ -76,11 +78,13 @@
         let leaving = wire.state.as_deref().is_some_and(|s| s == "draining");
         Self {
             coming: coming.collect(),
+            runs: runs.collect(),
             seq: wire.seq,
             reported: Reported {
                 active: wire.active,
                 queued: wire.queued,
                 unread: silent + wire.queued,
+                recent_tokens: 0,
                 kv_used: wire.kv_used,
                 kv_total: wire.kv_total,
             },
--- /dev/null
+++ b/tests/engine_agent.rs
@@ -0,0 +1,177 @@
+//! The process beside an engine, before a stand-in of it on loopback.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use goldcrestpitch::{
+    engine_agent::{self, EngineAgent, EngineAgentConfig},
+    fakes::{FakeLog, LogFaults},
+    gossip::{Body, Hello, Socket, State, Wish, WishKind},
+    http,
+    platform::{CONFIGURATION, Store},
+};
+use hyper::{Request, StatusCode, body::Incoming};
+use serde_json::json;
+use tokio::{net::TcpListener, time};
+
+/// What the stand-in of an engine counts, and how it answers orders.
+#[derive(Debug, Default)]
+struct Engine {
+    reports: AtomicUsize,
+    orders: AtomicUsize,
+    // Orders are answered only after two more reports.
+    slow_orders: AtomicBool,
+}
+
+impl Engine {
+    async fn answer(&self, req: Request<Incoming>) -> http::Reply {
+        if req.uri().path() == "/-/report" {
+            self.reports.fetch_add(1, Ordering::SeqCst);
+            let report = json!({
+                "Stage": "on", "Models": [], "Busy": false, "Seq": 0, "Queued": 0, "Active": 0,
+                "KvUsed": 0, "KvTotal": 1000, "Runs": [],
+            });
+            return http::json(StatusCode::OK, &report);
+        }
+        let before = self.reports.load(Ordering::SeqCst);
+        while self.slow_orders.load(Ordering::SeqCst)
+            && self.reports.load(Ordering::SeqCst) < before + 2
+        {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        self.orders.fetch_add(1, Ordering::SeqCst);
+        http::text(StatusCode::ACCEPTED, "")
+    }
+}
+
+struct Bed {
+    engine: Arc<Engine>,
+    gateway: Socket,
+    agent: EngineAgent,
+    agent_at: SocketAddr,
+    _stop: [http::StopSignal; 2],
+}
+
+impl Bed {
+    async fn start() -> Self {
+        let log = FakeLog::new(LogFaults::default(), 3);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store = listener.local_addr().unwrap();
+        let (stop_log, stopped) = http::stop_channel();
+        tokio::spawn(log.serve(listener, stopped));
+        let configuration = json!({
+            "Version": 1, "Routes": [],
+            "Services": [{ "Name": "llm", "MaxConns": 10, "Engine": {
+                "Slots": 8, "KvCapacity": 1000, "WeightsMb": 100.0, "AdapterSlots": 2,
+                "LoadsPerS": 1.0, "Models": [{ "Name": "m", "WeightsMb": 40.0, "LoadS": 1.0 }],
+            }}],
+        });
+        let text = configuration.to_string();
+        Store::new(store).put(CONFIGURATION, "config", text.as_bytes()).await.unwrap();
+
+        let engine = Arc::new(Engine::default());
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let engine_at = listener.local_addr().unwrap();
+        let (stop_engine, stopped) = http::stop_channel();
+        let handler = {
+            let engine = engine.clone();
+            move |req| {
+                let engine = engine.clone();
+                async move { Ok::<_, http::Broken>(engine.answer(req).await) }
+            }
+        };
+        tokio::spawn(http::serve(listener, handler, stopped));
+
+        let gateway = Socket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let socket = Socket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let agent_at = socket.local_address().unwrap();
+        let config = EngineAgentConfig {
+            name: "side-1".into(),
+            service: "llm".into(),
+            engine: engine_at,
+            store,
+        };
+        let agent = engine_agent::start(config, socket);
+        Self { engine, gateway, agent, agent_at, _stop: [stop_log, stop_engine] }
+    }
+
+    fn greet(&self, wishes: Vec<Wish>) {
+        let hello = Hello { serving: true, plans: true, wishes, used: Vec::new() };
+        self.gateway.send(self.agent_at, Body::Hello(hello));
+    }
+
+    /// The next state that the agent tells, greeting it meanwhile.
+    async fn next_state(&self, wishes: &[Wish]) -> State {
+        loop {
+            self.greet(wishes.to_vec());
+            let received = time::timeout(Duration::from_millis(100), self.gateway.receive()).await;
+            if let Ok(Ok((_, Body::State(state)))) = received {
+                return state;
+            }
+        }
+    }
+}
+
+/// Runs a test on one thread, and ends it if it hangs.
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let done = runtime.block_on(async { time::timeout(Duration::from_secs(60), test).await });
+    assert!(done.is_ok(), "the test did not end");
+}
+
+#[test]
+fn an_idle_engine_is_told_of_again_and_again() {
+    run(async {
+        let bed = Bed::start().await;
+        // Nothing changes at the engine, and every state is news that it lives.
+        let mut last = 0;
+        for _ in 0..4 {
+            let state = bed.next_state(&[]).await;
+            assert!(last < state.number, "{} after {last}", state.number);
+            last = state.number;
+        }
+        while !bed.next_state(&[]).await.able {}
+        bed.agent.stop();
+    });
+}
+
+#[test]
+fn an_order_without_an_answer_delays_no_report() {
+    run(async {
+        let bed = Bed::start().await;
+        bed.engine.slow_orders.store(true, Ordering::SeqCst);
+        let load = Wish { kind: WishKind::Load.into(), model: "m".into(), adapter: String::new() };
+        while bed.engine.orders.load(Ordering::SeqCst) == 0 {
+            bed.next_state(std::slice::from_ref(&load)).await;
+        }
+        bed.agent.stop();
+    });
+}
+
+#[test]
+fn only_the_gateway_that_plans_moves_models() {
+    run(async {
+        let bed = Bed::start().await;
+        while !bed.next_state(&[]).await.able {}
+        let load = Wish { kind: WishKind::Load.into(), model: "m".into(), adapter: String::new() };
+        for _ in 0..4 {
+            // From a gateway that does not say that it plans.
+            let other = Socket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+            let wishes = vec![load.clone()];
+            let hello = Hello { serving: true, plans: false, wishes, used: Vec::new() };
+            other.send(bed.agent_at, Body::Hello(hello));
+            bed.next_state(&[]).await;
+        }
+        assert_eq!(bed.engine.orders.load(Ordering::SeqCst), 0);
+        while bed.engine.orders.load(Ordering::SeqCst) == 0 {
+            bed.next_state(std::slice::from_ref(&load)).await;
+        }
+        bed.agent.stop();
+    });
+}
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -9,8 +9,8 @@
 use goldcrestpitch::core::{
     forwarding::{
         Change, Dispatcher, EndpointBook, EndpointState, EngineSpec, HeldModel, Kind, ModelSpec,
-        Needs, Place, Registration, Reported, Residency, Route, RouteTable, Service, Share, Ticket,
-        Verdict, Why,
+        Needs, Place, Registration, Reported, Residency, Route, RouteTable, Service, Share,
+        Sharing, Ticket, Verdict, Why,
     },
     ids::EndpointId,
 };
@@ -93,6 +93,7 @@
     dispatcher: Dispatcher,
     table: RouteTable,
     book: EndpointBook,
+    target: Duration,
     now: Instant,
 }
 
@@ -104,13 +105,14 @@
             dispatcher: Dispatcher::new(place, 5),
             table: table(),
             book: book(engines),
+            target: TARGET,
             now: Instant::now(),
         }
     }
 
     fn ask(&mut self, priority: u8, needs: Needs) -> Ticket {
         let deadline = self.now + Duration::from_secs(15);
-        let route = route(priority);
+        let route = Route { target: self.target, ..route(priority) };
         self.dispatcher.ask(self.now, &route, "llm".into(), needs, deadline, Vec::new())
     }
 
@@ -157,20 +159,21 @@
 #[test]
 fn the_more_urgent_goes_first_and_among_equals_who_can_be_on_time() {
     let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
-    let running = gateway.ask(1, needs("m", None, 2_000));
-    assert!(sent_to(&gateway.poll(), running).is_some());
-    let late = gateway.ask(1, needs("m", None, 1_500));
-    gateway.pass(900);
-    let in_time = gateway.ask(1, needs("m", None, 1_500));
-    let less = gateway.ask(2, needs("m", None, 1_500));
-    let urgent = gateway.ask(0, needs("m", None, 1_500));
+    gateway.target = Duration::from_secs(3);
+    let mut before = gateway.ask(1, needs("m", None, 3_500));
+    assert!(sent_to(&gateway.poll(), before).is_some());
+    let late = gateway.ask(1, needs("m", None, 3_500));
+    gateway.pass(2_500);
+    let in_time = gateway.ask(1, needs("m", None, 3_500));
+    let less = gateway.ask(2, needs("m", None, 3_500));
+    let urgent = gateway.ask(0, needs("m", None, 3_500));
     assert!(gateway.poll().is_empty(), "the engine is still reading");
     let mut order = Vec::new();
-    let mut before = running;
     for _ in 0..4 {
         gateway.dispatcher.answered(gateway.now, before);
+        gateway.pass(300);
         let verdicts = gateway.poll();
-        assert_eq!(verdicts.len(), 1);
+        assert_eq!(verdicts.len(), 1, "{order:?}");
         before = *verdicts.keys().next().unwrap();
         order.push(before);
     }
@@ -180,7 +183,7 @@
 #[test]
 fn who_cannot_be_served_is_refused_and_told_when_to_come_back() {
     let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
-    gateway.ask(1, needs("m", None, 2_000));
+    gateway.ask(1, needs("m", None, 4_000));
     gateway.poll();
     let waits = gateway.ask(1, needs("m", None, 1_500));
     assert!(gateway.poll().is_empty());
@@ -192,6 +195,55 @@
     assert!(Duration::from_millis(500) < *delay);
 }
 
+#[test]
+fn what_streams_see_within_their_pause_is_bounded_also_when_prompts_are_read_fast() {
+    let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
+    let mut sent: Vec<(u64, u64)> = Vec::new();
+    let mut rng = fastrand::Rng::with_seed(3);
+    for at in 0..4_000 {
+        gateway.pass(1);
+        let tokens = rng.u32(100..1_500);
+        let ticket = gateway.ask(1, needs("m", None, tokens));
+        if sent_to(&gateway.poll(), ticket).is_some() {
+            sent.push((at, u64::from(tokens)));
+            // It is read at once, so that nothing is ever unread.
+            gateway.dispatcher.answered(gateway.now, ticket);
+        }
+        gateway.dispatcher.end(ticket);
+    }
+    for (i, (from, _)) in sent.iter().enumerate() {
+        let within = sent[i..].iter().take_while(|(at, _)| *at < from + 300);
+        let tokens: u64 = within.map(|(_, tokens)| tokens).sum();
+        assert!(tokens as f64 / READ_TOKENS_PER_MS < 300.0, "{tokens} at {from}");
+    }
+    // The bound does not idle the engine: it reads most of the time.
+    let all: u64 = sent.iter().map(|(_, tokens)| tokens).sum();
+    assert!(0.6 < all as f64 / READ_TOKENS_PER_MS / 4_000.0, "{all}");
+}
+
+#[test]
+fn processes_divide_the_engines_and_leave_some_room_to_each_other() {
+    let engines = ["a", "b", "c", "d"].map(|id| engine(id, "east", &[("m", &[])]));
+    let mut own: Vec<HashMap<String, u32>> = Vec::new();
+    for position in 0..2 {
+        let mut gateway = Gateway::new(&engines);
+        gateway.dispatcher.set_sharing(Sharing::new(position, 2));
+        let tickets: Vec<_> = (0..40).map(|_| gateway.ask(1, needs("m", None, 800))).collect();
+        let verdicts = gateway.poll();
+        let mut sent = HashMap::new();
+        for endpoint in tickets.iter().filter_map(|t| sent_to(&verdicts, *t)) {
+            *sent.entry(endpoint.to_string()).or_insert(0) += 800;
+        }
+        own.push(sent);
+    }
+    for id in ["a", "b", "c", "d"] {
+        let all: u32 = own.iter().map(|sent| sent.get(id).copied().unwrap_or(0)).sum();
+        // Both burst at the same moment, without a word of each other.
+        assert!(f64::from(all) / READ_TOKENS_PER_MS < 300.0, "{id}: {all} of {own:?}");
+        assert!(0 < all, "{id} is idle");
+    }
+}
+
 #[test]
 fn a_request_waits_for_a_model_within_its_time() {
     let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
@@ -220,11 +272,11 @@
     let engines = [engine("a", "east", &[("m", &["x"])]), engine("b", "east", &[("m", &[])])];
     let mut gateway = Gateway::new(&engines);
     // The engine that holds the adapter serves while it is free.
-    let first = gateway.ask(1, needs("m", Some("x"), 1_900));
+    let first = gateway.ask(1, needs("m", Some("x"), 2_500));
     assert_eq!(sent_to(&gateway.poll(), first).unwrap().as_ref(), "a");
     // Then the other is asked to load it, once for all that wait.
-    let second = gateway.ask(1, needs("m", Some("x"), 1_900));
-    gateway.ask(1, needs("m", Some("x"), 1_900));
+    let second = gateway.ask(1, needs("m", Some("x"), 2_500));
+    gateway.ask(1, needs("m", Some("x"), 2_500));
     assert!(gateway.poll().is_empty());
     let wanted: Vec<_> = gateway.dispatcher.wanted().map(|w| w.endpoint.to_string()).collect();
     assert_eq!(wanted, ["b"]);
@@ -267,7 +319,14 @@
 fn the_load_of_other_gateways_counts_while_reports_are_fresh() {
     let engines = [engine("a", "east", &[("m", &[])]), engine("b", "east", &[("m", &[])])];
     let mut gateway = Gateway::new(&engines);
-    let busy = Reported { active: 30, queued: 3, unread: 3, kv_used: 1, kv_total: 100 };
+    let busy = Reported {
+        active: 30,
+        queued: 3,
+        unread: 3,
+        kv_used: 1,
+        kv_total: 100,
+        ..Reported::default()
+    };
     gateway.dispatcher.reported(gateway.now, &"a".into(), busy);
     for _ in 0..3 {
         let ticket = gateway.ask(1, needs("m", None, 100));
@@ -282,7 +341,7 @@
 #[test]
 fn a_full_memory_takes_no_further_request() {
     let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
-    let full = Reported { active: 9, queued: 0, unread: 0, kv_used: 95, kv_total: 100 };
+    let full = Reported { active: 9, kv_used: 95, kv_total: 100, ..Reported::default() };
     gateway.dispatcher.reported(gateway.now, &"a".into(), full);
     gateway.ask(1, needs("m", None, 100));
     assert!(gateway.poll().is_empty());
--- a/tests/placement/desk.rs
+++ b/tests/placement/desk.rs
@@ -117,8 +117,9 @@
                 busy: self.busy.is_some(),
             },
             coming: Vec::new(),
+            runs: Vec::new(),
             seq: self.seq,
-            reported: Reported { active: 0, queued: 0, unread: 0, kv_used: 0, kv_total: 1 },
+            reported: Reported { kv_total: 1, ..Reported::default() },
             state: EndpointState::Ready,
         }
     }
@@ -228,3 +229,65 @@
     desk.report(now, Engine::new().view());
     assert_eq!(desk.next(now), None);
 }
+
+fn desk() -> Desk {
+    let mut desk = Desk::default();
+    desk.set_spec(spec());
+    desk.set_fence(1);
+    desk
+}
+
+fn holding(adapters: &[&str]) -> EngineView {
+    let mut engine = Engine::new();
+    engine.held.insert("a".into(), adapters.iter().map(ToString::to_string).collect());
+    engine.view()
+}
+
+#[test]
+fn an_adapter_in_use_does_not_make_way() {
+    let now = Instant::now();
+    let mut desk = desk();
+    for adapter in ["x", "y", "z"] {
+        desk.used(now, "a".into(), Some(adapter.into()));
+    }
+    let wish = |desk: &mut Desk, now| {
+        desk.wish(now, WishSource::Request, Operation::Load, "a".into(), Some("u".into()));
+        desk.report(now, holding(&["x", "y", "z"]));
+        desk.next(now)
+    };
+    assert_eq!(wish(&mut desk, now), None);
+    // Gateways go on telling that two of them are in use.
+    for millis in [400, 800, 1200] {
+        let now = now + Duration::from_millis(millis);
+        desk.used(now, "a".into(), Some("x".into()));
+        desk.used(now, "a".into(), Some("z".into()));
+    }
+    let order = wish(&mut desk, now + Duration::from_millis(1300)).unwrap();
+    assert_eq!((order.operation, order.adapter.as_deref()), (Operation::Unload, Some("y")));
+}
+
+#[test]
+fn an_unload_that_waits_for_its_runs_is_ordered_once() {
+    let now = Instant::now();
+    let mut desk = desk();
+    let mut unloads = 0;
+    for step in 0..100 {
+        let now = now + Duration::from_millis(12 * step);
+        desk.wish(now, WishSource::Request, Operation::Load, "a".into(), Some("u".into()));
+        // A run that no gateway told of keeps the adapter.
+        let view = EngineView { seq: unloads, ..holding(&["x", "y", "z"]) };
+        desk.report(now, view.clone());
+        let leaving = 3 - desk.staying(&view)[0].adapters.len();
+        assert_eq!(leaving as u64, unloads, "no request is sent for what is leaving");
+        if let Some(order) = desk.next(now) {
+            assert_eq!(order.operation, Operation::Unload);
+            unloads += 1;
+            desk.answered(now, Some(OrderAnswer::Accepted));
+        }
+    }
+    assert_eq!(unloads, 1);
+    // It is gone, and its place is taken.
+    let now = now + Duration::from_millis(1300);
+    desk.report(now, EngineView { seq: 1, ..holding(&["y", "z"]) });
+    assert_eq!(desk.next(now).unwrap().operation, Operation::Load);
+}
--- a/tests/placement/plan.rs
+++ b/tests/placement/plan.rs
@@ -49,6 +49,7 @@
             taken: LARGE * held(i).len() as u64,
             held: held(i),
             at_hand: Vec::new(),
+            in_use: Vec::new(),
             able: true,
             busy: false,
             running: 0,
@@ -179,3 +180,45 @@
     fleet.run(Duration::from_secs(10), &demand(&[(0, 90_000.0, 9)]));
     assert_eq!(fleet.started.len(), 0);
 }
+
+/// Four engines with two models each, of which one is busy; each model has one copy.
+fn full_fleet() -> Fleet {
+    let mut fleet = Fleet::new(4, 8, false);
+    fleet.now += Duration::from_secs(5);
+    fleet
+}
+
+#[test]
+fn the_last_copy_goes_only_where_it_is_at_hand_and_not_asked_for() {
+    let busy = (0, 40_000.0, 0);
+    for (at_hand, asked, moves) in [(true, 0.0, true), (false, 0.0, false), (true, 200.0, false)] {
+        let mut fleet = full_fleet();
+        if at_hand {
+            for engine in &mut fleet.engines {
+                engine.at_hand.clone_from(&engine.held);
+            }
+        }
+        let others: Vec<_> = (1..8).map(|i| (i, asked, 0)).collect();
+        let demand = demand(&[&[busy][..], &others].concat());
+        let wishes = fleet.plan.plan(fleet.now, &fleet.spec, &fleet.engines, &demand);
+        assert_eq!(!wishes.is_empty(), moves, "{at_hand} {asked}: {wishes:?}");
+        assert!(wishes.iter().all(|w| w.unload.iter().all(|m| *m != name(0))));
+    }
+}
+
+#[test]
+fn a_model_that_requests_use_makes_way_after_an_idle_one() {
+    let mut fleet = full_fleet();
+    for engine in &mut fleet.engines {
+        engine.at_hand.clone_from(&engine.held);
+        // An unload of the first model would wait for its runs.
+        engine.in_use = vec![engine.held[0].clone()];
+    }
+    let demand = demand(&[(0, 40_000.0, 0)]);
+    let wishes = fleet.plan.plan(fleet.now, &fleet.spec, &fleet.engines, &demand);
+    assert!(!wishes.is_empty());
+    for wish in wishes {
+        let engine = fleet.engines.iter().find(|e| e.id == wish.engine).unwrap();
+        assert_eq!(wish.unload, [engine.held[1].clone()]);
+    }
+}
