Messages by use instead of gateways times endpoints; endpoints that stand still avoided

Cause: each agent told each gateway of its load several times a second, each gateway told all others its demand, and all were named in every datagram: with 32 gateways a message of a gateway passed the 1,400 bytes of a datagram and was dropped without a word.

Changes: agents tell the load to gateways whose requests use the engine and to the one that plans, and all of it on a change of what it holds or every 1.8 s; greetings every 1.5 s instead of 0.4 s; demand goes to the one that plans; eight gateways are named at a time, by turns; a datagram that is too large is logged. An endpoint that owes an answer and was heard neither by an answer nor by its agent for 0.9 s is chosen last. What a gateway learns first after its start is told at once.

--- a/src/core/forwarding/choice.rs
+++ b/src/core/forwarding/choice.rs
@@ -131,8 +131,9 @@
         needs: &Needs,
         part: f64,
     ) -> Option<f64> {
-        let avoided = self.avoided.get(endpoint.id()).is_some_and(|until| now < *until);
         let load = self.load(endpoint.id());
+        let avoided = self.avoided.get(endpoint.id()).is_some_and(|until| now < *until)
+            || load.is_silent(now);
         let connections = (service.max_connections / self.processes).max(1);
         if connections <= load.running() as usize {
             return None;
--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -210,7 +210,7 @@
         let Some(running) = self.running.get_mut(&ticket).filter(|r| !r.answered) else { return };
         running.answered = true;
         let Some(load) = self.loads.get_mut(&running.endpoint) else { return };
-        load.answered(running.prompt_tokens);
+        load.answered(now, running.prompt_tokens);
         load.observed(now.saturating_duration_since(running.sent), running.expected);
     }
 
--- a/src/core/forwarding/load.rs
+++ b/src/core/forwarding/load.rs
@@ -14,6 +14,10 @@
 const MEAN_PROMPT_TOKENS: u64 = 1200;
 // Part of a new observation in the running mean of the pace.
 const PACE_WEIGHT: f64 = 0.15;
+// An endpoint that owes an answer and was not heard for so long may stand still.
+// Source: agents tell of their engines every 600 ms; most plain answers come within
+// a quarter of a second.
+const SILENCE: Duration = Duration::from_millis(900);
 const MIN_PACE: f64 = 0.5;
 const MAX_PACE: f64 = 20.0;
 
@@ -54,6 +58,10 @@
     recent: VecDeque<(Instant, u32)>,
     report: Option<Report>,
     pace: Option<f64>,
+    // When it was last heard, by an answer or a report.
+    heard: Option<Instant>,
+    // Since when some request has no first part of its answer.
+    owes_since: Option<Instant>,
 }
 
 impl EndpointLoad {
@@ -61,6 +69,7 @@
     pub fn sent(&mut self, now: Instant, prompt_tokens: u32, memory_tokens: u64) {
         self.recent.retain(|(at, _)| now < *at + READ_WINDOW);
         self.recent.push_back((now, prompt_tokens));
+        self.owes_since.get_or_insert(now);
         self.running += 1;
         self.unread += 1;
         self.unread_tokens += u64::from(prompt_tokens);
@@ -68,15 +77,17 @@
     }
 
     /// The first part of an answer came.
-    pub fn answered(&mut self, prompt_tokens: u32) {
-        self.unread = self.unread.saturating_sub(1);
-        self.unread_tokens = self.unread_tokens.saturating_sub(u64::from(prompt_tokens));
+    pub fn answered(&mut self, now: Instant, prompt_tokens: u32) {
+        self.heard = Some(now);
+        self.read(prompt_tokens);
+        self.owes_since = self.owes_since.filter(|_| 0 < self.unread).map(|_| now);
     }
 
     /// A request ended; `answered` tells whether [`Self::answered`] was called for it.
     pub fn ended(&mut self, prompt_tokens: u32, memory_tokens: u64, answered: bool) {
         if !answered {
-            self.answered(prompt_tokens);
+            self.read(prompt_tokens);
+            self.owes_since = self.owes_since.filter(|_| 0 < self.unread);
         }
         self.running = self.running.saturating_sub(1);
         self.memory_tokens = self.memory_tokens.saturating_sub(memory_tokens);
@@ -84,6 +95,7 @@
 
     /// The endpoint reported its load.
     pub fn reported(&mut self, now: Instant, reported: Reported) {
+        self.heard = Some(now);
         let (own_running, own_unread) = (self.running, self.unread);
         let own_recent = self.recent_tokens(now);
         self.report = Some(Report { reported, at: now, own_running, own_unread, own_recent });
@@ -97,6 +109,13 @@
         self.pace = Some(pace + (ratio - pace) * PACE_WEIGHT);
     }
 
+    /// Whether the endpoint owes an answer and was not heard for so long that it may
+    /// stand still.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let Some(since) = self.owes_since else { return false };
+        self.heard.map_or(since, |heard| heard.max(since)) + SILENCE < now
+    }
+
     /// Own requests at the endpoint.
     pub fn running(&self) -> u32 {
         self.running
@@ -165,6 +184,11 @@
         self.pace.unwrap_or(1.0)
     }
 
+    fn read(&mut self, prompt_tokens: u32) {
+        self.unread = self.unread.saturating_sub(1);
+        self.unread_tokens = self.unread_tokens.saturating_sub(u64::from(prompt_tokens));
+    }
+
     fn recent_tokens(&self, now: Instant) -> u64 {
         let recent = self.recent.iter().filter(|(at, _)| now < *at + READ_WINDOW);
         recent.map(|(_, tokens)| u64::from(*tokens)).sum()
--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -19,7 +19,7 @@
         },
     },
     fleet::{Followed, follow},
-    gossip::{Body, Held, Hello, Socket, State, Wish, WishKind},
+    gossip::{Body, Held, Hello, Load, Socket, State, Wish, WishKind},
     platform::{
         CONFIG_KEY, CONFIGURATION, Engine, KeyedRecord, STATUS, Store, Topic, decode_configuration,
     },
@@ -32,11 +32,20 @@
 const REPORT_SOON: Duration = Duration::from_millis(12);
 /// Time between messages to gateways when only the load has changed.
 const TELL_LOAD_EVERY: Duration = Duration::from_millis(200);
-/// The same when nothing has changed. An agent that gateways have not heard for two
-/// seconds counts as silent, and a gateway learns of a new engine after its agent.
+/// The same when nothing has changed, so that an idle engine is known to live.
 const TELL_EVERY: Duration = Duration::from_millis(600);
-/// A gateway that was not heard for so long gets no more messages.
-const SILENT_AFTER: Duration = Duration::from_millis(2000);
+/// Time between messages to a gateway that does not use the engine. A gateway
+/// learns of a new engine after its agent, and datagrams are lost.
+const TELL_ALL_EVERY: Duration = Duration::from_millis(1800);
+/// A gateway that was not heard for so long gets no more messages. Source: three of
+/// the greetings that gateways send to each agent.
+const SILENT_AFTER: Duration = Duration::from_millis(5000);
+/// A gateway that has not said for so long that it plans does so no more.
+const PLANS_FOR: Duration = Duration::from_millis(2000);
+/// A gateway whose requests used the engine so lately hears of its load.
+const USES_FOR: Duration = Duration::from_millis(2000);
+/// Most gateways that are named in one datagram.
+const MAX_NAMED: usize = 8;
 /// Fencing tokens that one start of an agent may use.
 const TOKENS_PER_START: u64 = 1_000_000;
 /// Longest wait of a read for a change of the configuration. The models of a
@@ -82,6 +91,8 @@
 struct Gateway {
     at: Instant,
     plans: Option<Instant>,
+    used: Option<Instant>,
+    told_all: Instant,
 }
 
 /// A running agent.
@@ -192,11 +203,19 @@
         let now = Instant::now();
         let mut state = self.lock();
         let new = !state.gateways.contains_key(&from);
-        let gateway = state.gateways.entry(from).or_insert(Gateway { at: now, plans: None });
+        let gateway = state.gateways.entry(from).or_insert(Gateway {
+            at: now,
+            plans: None,
+            used: None,
+            told_all: now,
+        });
         gateway.at = now;
         if hello.plans {
             gateway.plans = Some(now);
         }
+        if !hello.used.is_empty() || !hello.wishes.is_empty() {
+            gateway.used = Some(now);
+        }
         let planner = planner(&state.gateways, now);
         for wish in &hello.wishes {
             let source = match wish.adapter.is_empty() {
@@ -213,7 +232,9 @@
         }
         if new {
             info!("event=gateway_heard at={from}");
-            self.tell(&mut state, now, Some(from));
+        }
+        if new || hello.asks {
+            self.tell(&mut state, now, &|address, _| address == from);
         }
         drop(state);
         if !hello.wishes.is_empty() {
@@ -221,20 +242,37 @@
         }
     }
 
-    /// Tells one or all gateways what the engine holds.
-    fn tell(&self, state: &mut Inner, now: Instant, only: Option<SocketAddr>) {
+    /// Tells gateways what the engine holds and its load: those that `whole` picks
+    /// all of it, others that use the engine its load.
+    fn tell(&self, state: &mut Inner, now: Instant, whole: &dyn Fn(SocketAddr, &Gateway) -> bool) {
         let Some(view) = state.seen.clone() else { return };
         state.number += 1;
-        let gateways: Vec<SocketAddr> = state
-            .gateways
-            .iter()
-            .filter(|(_, g)| now < g.at + SILENT_AFTER)
-            .map(|(address, _)| *address)
-            .collect();
-        let message = State {
+        let message = self.message(state, &view, now);
+        let planner = planner(&state.gateways, now);
+        for (address, gateway) in &mut state.gateways {
+            if gateway.at + SILENT_AFTER <= now {
+                continue;
+            }
+            let uses = gateway.used.is_some_and(|at| now < at + USES_FOR);
+            if whole(*address, gateway) || gateway.told_all + TELL_ALL_EVERY <= now {
+                gateway.told_all = now;
+                self.socket.send(*address, Body::State(message.clone()));
+            } else if uses || planner == Some(*address) {
+                self.socket.send(*address, Body::Load(Load::from(&message)));
+            }
+        }
+    }
+
+    fn message(&self, state: &Inner, view: &EngineView, now: Instant) -> State {
+        let live = state.gateways.iter().filter(|(_, g)| now < g.at + SILENT_AFTER);
+        // Others each time, so that all are named in time.
+        let skipped = state.number as usize % state.gateways.len().max(1);
+        let named = live.map(|(address, _)| address.to_string()).cycle().skip(skipped);
+        let named = named.take(MAX_NAMED.min(state.gateways.len()));
+        State {
             engine: self.config.engine.to_string(),
             number: state.number,
-            held: state.desk.staying(&view).iter().map(Held::from).collect(),
+            held: state.desk.staying(view).iter().map(Held::from).collect(),
             at_hand: view.residency.at_hand.iter().map(ToString::to_string).collect(),
             busy: view.residency.busy,
             active: view.reported.active,
@@ -244,15 +282,12 @@
             kv_used: view.reported.kv_used,
             kv_total: view.reported.kv_total,
             draining: view.state == EndpointState::Draining,
-            gateways: gateways.iter().map(ToString::to_string).collect(),
+            gateways: named.collect(),
             loading: state.desk.loading().map(ToString::to_string).unwrap_or_default(),
             started: self.started,
-            taken: state.desk.taken(&view),
+            taken: state.desk.taken(view),
             able: state.desk.is_able(),
-            in_use: state.desk.in_use(Instant::now()).map(ToString::to_string).collect(),
-        };
-        for address in gateways.iter().filter(|a| only.is_none_or(|o| **a == o)) {
-            self.socket.send(*address, Body::State(message.clone()));
+            in_use: state.desk.in_use(now).map(ToString::to_string).collect(),
         }
     }
 }
@@ -260,7 +295,7 @@
 /// The gateway whose plan counts: of those that say they plan, the one with the
 /// lowest address.
 fn planner(gateways: &HashMap<SocketAddr, Gateway>, now: Instant) -> Option<SocketAddr> {
-    let plans = |g: &Gateway| g.plans.is_some_and(|at| now < at + SILENT_AFTER);
+    let plans = |g: &Gateway| g.plans.is_some_and(|at| now < at + PLANS_FOR);
     gateways.iter().filter(|(_, g)| plans(g)).map(|(address, _)| *address).min()
 }
 
@@ -305,9 +340,9 @@
                 let due = told + if load { TELL_LOAD_EVERY } else { TELL_EVERY };
                 if held || before < unread || due <= now {
                     told = now;
-                    shared.tell(&mut state, now, None);
+                    shared.tell(&mut state, now, &|_, _| held);
                 }
-                state.gateways.retain(|_, g| now < g.at + SILENT_AFTER * 2);
+                state.gateways.retain(|_, g| now < g.at + SILENT_AFTER);
             }
             Err(err) => {
                 let mut state = shared.lock();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,33 +13,44 @@
 
 use crate::{
     core::{
-        forwarding::{Place, Sharing, Wanted},
+        forwarding::{Place, Reported, Sharing, Wanted},
         ids::EndpointId,
     },
     gateway::{
         hub::{self, Hub},
         planner::{self, AgentFacts, Planner},
     },
-    gossip::{Body, Demand, Hello, Peer, Socket, State, Suspicion, Wish, WishKind},
+    gossip::{Body, Demand, Hello, Load, Peer, Socket, State, Suspicion, Wish, WishKind},
     telemetry::names,
 };
 
 /// Time between messages to a peer or an agent.
 const SEND_EVERY: Duration = Duration::from_millis(400);
-/// A peer or an agent that was not heard for so long counts no more.
+/// Time between greetings to an agent that has nothing else to hear.
+const GREET_EVERY: Duration = Duration::from_millis(1500);
+/// A peer that was not heard for so long counts no more.
 const SILENT_AFTER: Duration = Duration::from_millis(2000);
+/// The same for an agent. Source: three of the messages that agents send to all.
+const AGENT_SILENT_AFTER: Duration = Duration::from_millis(5500);
+/// Time between messages to a peer that does not plan.
+const TELL_PEER_EVERY: Duration = Duration::from_millis(800);
+/// Rounds after the start in which all peers are told each time.
+const FIRST_ROUNDS: usize = 8;
 /// How long a suspicion is told to peers.
 const TELL_SUSPICIONS_FOR: Duration = Duration::from_secs(3);
 /// Most suspicions in one datagram.
 const MAX_SUSPICIONS: usize = 24;
 /// Most gateways that are named in one datagram.
-const MAX_NAMED: usize = 40;
+const MAX_NAMED: usize = 8;
 
 /// What is known of the others.
 #[derive(Debug, Default)]
 struct Known {
     gateways: HashMap<SocketAddr, Heard>,
     agents: HashMap<EndpointId, AgentFacts>,
+    greeted: HashMap<EndpointId, Instant>,
+    told_peers: Option<Instant>,
+    rounds: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -66,10 +77,10 @@
         tokio::select! {
             _ = ticks.tick() => {
                 known.expire(&hub, own);
-                known.tell_peers(&hub, &socket, own);
+                known.tell_peers(&hub, &socket, own, false);
                 known.tell_agents(&hub, &socket, own, &mut planner);
             }
-            () = hub.urgent.notified() => known.tell_peers(&hub, &socket, own),
+            () = hub.urgent.notified() => known.tell_peers(&hub, &socket, own, true),
             () = hub.wanted.notified() => tell_wanted(&hub, &socket, own),
             received = socket.receive() => {
                 if let Ok((from, body)) = received {
@@ -100,6 +111,10 @@
             Body::Peer(peer) => {
                 self.name(now, own, from);
                 if let Some(heard) = self.gateways.get_mut(&from) {
+                    if heard.at.is_none_or(|at| at + SILENT_AFTER <= now) {
+                        // It may just have started and know nobody.
+                        hub.urgent.notify_one();
+                    }
                     heard.at = Some(now);
                     heard.serving = peer.serving;
                     heard.demand = peer.demand;
@@ -115,6 +130,7 @@
                 self.named(now, own, &state.gateways);
                 self.agent(hub, now, &state);
             }
+            Body::Load(load) => self.load(hub, now, &load),
             Body::Hello(_) => {}
         }
     }
@@ -140,13 +156,14 @@
         let facts = AgentFacts {
             at: now,
             number,
+            load_number: number,
             taken: told.taken,
             able: told.able,
             in_use: told.in_use.iter().map(|m| m.as_str().into()).collect(),
         };
         self.agents.insert(id.clone(), facts);
         state.book.set_told(&id, Some(told.residency()));
-        state.dispatcher.reported(now, &id, told.reported());
+        state.dispatcher.reported(now, &id, Reported::from(&Load::from(told)));
         if told.draining {
             state.book.set_leaving(&id);
         }
@@ -154,6 +171,23 @@
         hub.pump();
     }
 
+    fn load(&mut self, hub: &Hub, now: Instant, told: &Load) {
+        let Ok(address) = told.engine.parse() else { return };
+        let mut state = hub.lock();
+        let Some(id) = state.book.at(address).map(|e| e.id().clone()) else { return };
+        // What it holds comes first, by another message.
+        let Some(facts) = self.agents.get_mut(&id) else { return };
+        let number = (told.started, told.number);
+        if number <= facts.load_number {
+            return;
+        }
+        facts.load_number = number;
+        facts.at = now;
+        state.dispatcher.reported(now, &id, Reported::from(told));
+        drop(state);
+        hub.pump();
+    }
+
     fn expire(&mut self, hub: &Hub, own: SocketAddr) {
         let now = Instant::now();
         self.gateways.retain(|_, h| {
@@ -164,7 +198,7 @@
         let silent: Vec<EndpointId> = self
             .agents
             .iter()
-            .filter(|(_, facts)| facts.at + SILENT_AFTER < now)
+            .filter(|(_, facts)| facts.at + AGENT_SILENT_AFTER < now)
             .map(|(id, _)| id.clone())
             .collect();
         for id in silent {
@@ -199,7 +233,9 @@
         serving && self.live(now).filter(|(_, h)| h.serving).all(|(address, _)| own < *address)
     }
 
-    fn tell_peers(&self, hub: &Hub, socket: &Socket, own: SocketAddr) {
+    /// Tells the peer that plans of demand, and all now and then, or at once, that
+    /// this gateway is there.
+    fn tell_peers(&mut self, hub: &Hub, socket: &Socket, own: SocketAddr, at_once: bool) {
         let now = Instant::now();
         let serving = hub.is_ready();
         let (suspicions, demand, zone) = {
@@ -210,15 +246,40 @@
             let zone = state.dispatcher.place().zone.to_string();
             (told.collect(), planner::own_demand(now, &state), zone)
         };
-        let live = self.live(now).map(|(address, _)| *address);
-        let gateways = live.chain([own]).take(MAX_NAMED).map(|a| a.to_string()).collect();
+        let all = at_once
+            || self.rounds < FIRST_ROUNDS
+            || self.told_peers.is_none_or(|at| at + TELL_PEER_EVERY <= now);
+        if all {
+            self.told_peers = Some(now);
+        }
+        self.rounds += 1;
+        let planner = self.planner(now);
+        let gateways = self.some_gateways(now, own);
         let peer = Peer { serving, demand, suspicions, gateways, zone };
+        let greeting = Peer { demand: Vec::new(), ..peer.clone() };
         for address in self.gateways.keys() {
-            socket.send(*address, Body::Peer(peer.clone()));
+            if planner == Some(*address) {
+                socket.send(*address, Body::Peer(peer.clone()));
+            } else if all {
+                socket.send(*address, Body::Peer(greeting.clone()));
+            }
         }
     }
 
-    fn tell_agents(&self, hub: &Hub, socket: &Socket, own: SocketAddr, planner: &mut Planner) {
+    /// The live peer with the lowest address that serves.
+    fn planner(&self, now: Instant) -> Option<SocketAddr> {
+        self.live(now).filter(|(_, h)| h.serving).map(|(address, _)| *address).min()
+    }
+
+    /// Addresses of live gateways, others each round, so that all are named in time.
+    fn some_gateways(&self, now: Instant, own: SocketAddr) -> Vec<String> {
+        let live: Vec<SocketAddr> = self.live(now).map(|(address, _)| *address).collect();
+        let from = self.rounds % live.len().max(1);
+        let some = live.iter().cycle().skip(from).take(live.len().min(MAX_NAMED - 1));
+        some.chain([&own]).map(ToString::to_string).collect()
+    }
+
+    fn tell_agents(&mut self, hub: &Hub, socket: &Socket, own: SocketAddr, planner: &mut Planner) {
         let now = Instant::now();
         let serving = hub.is_ready();
         let plans = self.plans(now, own, serving);
@@ -237,12 +298,18 @@
         for (id, address) in agents(&state, own) {
             let wishes = wishes.remove(&id).unwrap_or_default();
             let used = all_used.remove(&id).unwrap_or_default();
-            let used = used
+            let used: Vec<String> = used
                 .iter()
                 .map(|(m, a)| a.as_ref().map_or(m.to_string(), |a| format!("{m}/{a}")))
                 .collect();
-            socket.send(address, Body::Hello(Hello { serving, plans, wishes, used }));
+            let asks = !self.agents.contains_key(&id);
+            let due = self.greeted.get(&id).is_none_or(|at| *at + GREET_EVERY <= now);
+            if plans || asks || due || !wishes.is_empty() || !used.is_empty() {
+                self.greeted.insert(id, now);
+                socket.send(address, Body::Hello(Hello { serving, plans, wishes, used, asks }));
+            }
         }
+        self.greeted.retain(|_, at| now < *at + GREET_EVERY * 2);
     }
 }
 
@@ -267,7 +334,7 @@
         wishes.entry(ip).or_default().push(adapter_wish(wanted));
     }
     for (ip, wishes) in wishes {
-        let hello = Hello { serving, plans: false, wishes, used: Vec::new() };
+        let hello = Hello { serving, plans: false, wishes, used: Vec::new(), asks: false };
         socket.send(SocketAddr::new(ip, own.port()), Body::Hello(hello));
     }
 }
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -21,15 +21,17 @@
 /// A gateway that has just begun to plan first hears the others' demand.
 const LISTEN_FIRST: Duration = Duration::from_millis(300);
 /// Most models in one message about demand.
-const MAX_DEMAND: usize = 24;
+const MAX_DEMAND: usize = 20;
 
 /// What an agent says of its engine beyond what it holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct AgentFacts {
     /// When it was last heard.
     pub(super) at: Instant,
-    /// Start and number of its last message.
+    /// Start and number of its last message about what the engine holds.
     pub(super) number: (u64, u64),
+    /// The same of its last message about the load alone.
+    pub(super) load_number: (u64, u64),
     /// Memory that weights and adapters take.
     pub(super) taken: Mib,
     /// It can give orders.
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
     /// What it says.
-    #[prost(oneof = "Body", tags = "1, 2, 3")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4")]
     pub body: Option<Body>,
 }
 
@@ -24,6 +24,9 @@
     /// Gateway to gateway.
     #[prost(message, tag = "3")]
     Peer(Peer),
+    /// Agent to the gateways that use its engine.
+    #[prost(message, tag = "4")]
+    Load(Load),
 }
 
 /// A gateway is there, and what it wishes of the agent.
@@ -41,6 +44,9 @@
     /// What its requests use at the engine, as MODEL or MODEL/ADAPTER.
     #[prost(string, repeated, tag = "4")]
     pub used: Vec<String>,
+    /// The gateway does not know what the engine holds.
+    #[prost(bool, tag = "5")]
+    pub asks: bool,
 }
 
 /// What an engine is to hold or to give up.
@@ -137,6 +143,67 @@
     pub in_use: Vec<String>,
 }
 
+/// What has changed at an engine that holds what it held.
+#[derive(Clone, PartialEq, Message)]
+pub struct Load {
+    /// Address of the engine.
+    #[prost(string, tag = "1")]
+    pub engine: String,
+    /// Counts the messages of this start of the agent, states included.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Unix milliseconds of the agent's start, by its own clock.
+    #[prost(uint64, tag = "3")]
+    pub started: u64,
+    /// Requests in its batch.
+    #[prost(uint32, tag = "4")]
+    pub active: u32,
+    /// Requests that wait at it.
+    #[prost(uint32, tag = "5")]
+    pub queued: u32,
+    /// Requests without a first token.
+    #[prost(uint32, tag = "6")]
+    pub unread: u32,
+    /// Prompt tokens of the requests that came lately.
+    #[prost(uint64, tag = "7")]
+    pub recent_tokens: u64,
+    /// Memory that is taken, tokens.
+    #[prost(uint64, tag = "8")]
+    pub kv_used: u64,
+    /// Memory, tokens.
+    #[prost(uint64, tag = "9")]
+    pub kv_total: u64,
+}
+
+impl From<&State> for Load {
+    fn from(state: &State) -> Self {
+        Self {
+            engine: state.engine.clone(),
+            number: state.number,
+            started: state.started,
+            active: state.active,
+            queued: state.queued,
+            unread: state.unread,
+            recent_tokens: state.recent_tokens,
+            kv_used: state.kv_used,
+            kv_total: state.kv_total,
+        }
+    }
+}
+
+impl From<&Load> for Reported {
+    fn from(load: &Load) -> Self {
+        Self {
+            active: load.active,
+            queued: load.queued,
+            unread: load.unread,
+            recent_tokens: load.recent_tokens,
+            kv_used: load.kv_used,
+            kv_total: load.kv_total,
+        }
+    }
+}
+
 impl State {
     /// What the engine holds.
     pub fn residency(&self) -> Residency {
@@ -150,18 +217,6 @@
             busy: self.busy,
         }
     }
-
-    /// The engine's load.
-    pub fn reported(&self) -> Reported {
-        Reported {
-            active: self.active,
-            queued: self.queued,
-            unread: self.unread,
-            recent_tokens: self.recent_tokens,
-            kv_used: self.kv_used,
-            kv_total: self.kv_total,
-        }
-    }
 }
 
 impl From<&HeldModel> for Held {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -5,5 +5,7 @@
 mod messages;
 mod socket;
 
-pub use messages::{Body, Datagram, Demand, Held, Hello, Peer, State, Suspicion, Wish, WishKind};
+pub use messages::{
+    Body, Datagram, Demand, Held, Hello, Load, Peer, State, Suspicion, Wish, WishKind,
+};
 pub use socket::{MAX_DATAGRAM_BYTES, Socket};
--- a/src/gossip/socket.rs
+++ b/src/gossip/socket.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr};
 
+use log::warn;
 use prost::Message;
 use tokio::net::UdpSocket;
 
@@ -39,7 +40,11 @@
     /// next one says the same. Returns whether it was sent.
     pub fn send(&self, to: SocketAddr, body: Body) -> bool {
         let bytes = Datagram { body: Some(body) }.encode_to_vec();
-        bytes.len() <= MAX_DATAGRAM_BYTES && self.socket.try_send_to(&bytes, to).is_ok()
+        if MAX_DATAGRAM_BYTES < bytes.len() {
+            warn!("event=datagram_too_large bytes={} to={to}", bytes.len());
+            return false;
+        }
+        self.socket.try_send_to(&bytes, to).is_ok()
     }
 
     /// Receives the next message that can be read.
--- a/tests/engine_agent.rs
+++ b/tests/engine_agent.rs
@@ -27,14 +27,18 @@
     orders: AtomicUsize,
     // Orders are answered only after two more reports.
     slow_orders: AtomicBool,
+    // Each report tells of other requests.
+    changes: AtomicBool,
 }
 
 impl Engine {
     async fn answer(&self, req: Request<Incoming>) -> http::Reply {
         if req.uri().path() == "/-/report" {
-            self.reports.fetch_add(1, Ordering::SeqCst);
+            let number = self.reports.fetch_add(1, Ordering::SeqCst);
+            let active = if self.changes.load(Ordering::SeqCst) { number % 50 } else { 0 };
             let report = json!({
-                "Stage": "on", "Models": [], "Busy": false, "Seq": 0, "Queued": 0, "Active": 0,
+                "Stage": "on", "Models": [], "Busy": false, "Seq": 0, "Queued": 0,
+                "Active": active,
                 "KvUsed": 0, "KvTotal": 1000, "Runs": [],
             });
             return http::json(StatusCode::OK, &report);
@@ -102,7 +106,7 @@
     }
 
     fn greet(&self, wishes: Vec<Wish>) {
-        let hello = Hello { serving: true, plans: true, wishes, used: Vec::new() };
+        let hello = Hello { serving: true, plans: true, wishes, used: Vec::new(), asks: false };
         self.gateway.send(self.agent_at, Body::Hello(hello));
     }
 
@@ -164,7 +168,8 @@
             // From a gateway that does not say that it plans.
             let other = Socket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
             let wishes = vec![load.clone()];
-            let hello = Hello { serving: true, plans: false, wishes, used: Vec::new() };
+            let hello =
+                Hello { serving: true, plans: false, wishes, used: Vec::new(), asks: false };
             other.send(bed.agent_at, Body::Hello(hello));
             bed.next_state(&[]).await;
         }
@@ -175,3 +180,34 @@
         bed.agent.stop();
     });
 }
+
+#[test]
+fn only_gateways_that_use_the_engine_hear_of_its_load() {
+    run(async {
+        let bed = Bed::start().await;
+        bed.engine.changes.store(true, Ordering::SeqCst);
+        let other = Socket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let greet = |socket: &Socket, used: &[&str]| {
+            let used = used.iter().map(ToString::to_string).collect();
+            let hello =
+                Hello { serving: true, plans: false, wishes: Vec::new(), used, asks: false };
+            socket.send(bed.agent_at, Body::Hello(hello));
+        };
+        let (mut loads, mut states_of_other) = (0, 0);
+        while loads < 12 || states_of_other == 0 {
+            greet(&bed.gateway, &["m"]);
+            greet(&other, &[]);
+            tokio::select! {
+                Ok((_, body)) = bed.gateway.receive() => {
+                    loads += u32::from(matches!(body, Body::Load(_)));
+                }
+                Ok((_, body)) = other.receive() => match body {
+                    Body::State(_) => states_of_other += 1,
+                    body => panic!("{body:?} to a gateway that does not use the engine"),
+                },
+                () = time::sleep(Duration::from_millis(100)) => {}
+            }
+        }
+        bed.agent.stop();
+    });
+}
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -366,3 +366,43 @@
     assert_eq!(unserved[&("llm".into(), "m".into())], 2);
     assert_eq!(unserved[&("llm".into(), "n".into())], 1);
 }
+
+#[test]
+fn an_endpoint_that_stands_still_gets_hardly_a_request() {
+    let engines = [engine("still", "east", &[("m", &[])]), engine("far", "west", &[("m", &[])])];
+    let mut gateway = Gateway::new(&engines);
+    let mut to_still = Vec::new();
+    for millis in (0..6_000).step_by(50) {
+        gateway.pass(50);
+        gateway.dispatcher.reported(gateway.now, &"far".into(), Reported::default());
+        let ticket = gateway.ask(1, needs("m", None, 100));
+        match sent_to(&gateway.poll(), ticket).unwrap().as_ref() {
+            // No answer ever comes from it, and its agent stands still as well.
+            "still" => to_still.push(millis),
+            _ => {
+                gateway.dispatcher.answered(gateway.now, ticket);
+                gateway.dispatcher.end(ticket);
+            }
+        }
+    }
+    assert!(!to_still.is_empty());
+    assert!(to_still.iter().all(|at| *at < 1_000), "{to_still:?}");
+}
+
+#[test]
+fn an_engine_whose_agent_is_dead_is_used_while_it_answers() {
+    let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
+    let mut silent = 0;
+    for _ in 0..100 {
+        let ticket = gateway.ask(1, needs("m", None, 100));
+        assert!(sent_to(&gateway.poll(), ticket).is_some());
+        gateway.pass(200);
+        silent += u32::from(gateway.dispatcher.load("a").is_silent(gateway.now));
+        gateway.dispatcher.answered(gateway.now, ticket);
+        // Its stream goes on for long, which owes no first part.
+        gateway.pass(2_000);
+        silent += u32::from(gateway.dispatcher.load("a").is_silent(gateway.now));
+        gateway.dispatcher.end(ticket);
+    }
+    assert_eq!(silent, 0);
+}
