A gateway that starts while the store is away takes what others know

Versions never go back: a table that is older than the known one is not taken, and the store replaces all once it is back.

Not done: gateways that are heard of later are not asked, only the seeds of the settings.

Tests: tests/gateway/away (served by what another knows, then by the store; nobody knows: 503, not ready; an older version is not taken).

--- a/src/cli/platform.rs
+++ b/src/cli/platform.rs
@@ -60,6 +60,7 @@
         ready: bind(settings.ready_listen).await?,
         peers: Socket::bind(settings.peer_listen).await?,
         peer_address: settings.peer_listen,
+        known: bind(settings.peer_listen).await?,
     };
     let admin = bind(settings.admin_listen).await?;
     let metrics = Metrics::install();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,11 +1,12 @@
 //! Keeps the configuration and the registrations of a gateway current.
 
 use std::{
-    collections::HashSet,
+    collections::{BTreeMap, HashSet},
     sync::Arc,
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use log::{info, warn};
 use metrics::gauge;
 
@@ -57,6 +58,7 @@
                 info!("event=configuration version={} before={known:?}", table.version);
                 gauge!(names::REVISION).set(table.version as f64);
                 state.table = Some(Arc::new(table));
+                state.known.configuration = Some(text);
             }
             Err(err) => warn!("event=configuration_unreadable error=\"{err}\""),
         }
@@ -102,13 +104,15 @@
     const PAUSE: Duration = REGISTRATION_PAUSE;
 
     fn replace(&mut self, records: Vec<KeyedRecord>) {
-        let values = records.into_iter().filter_map(|r| r.value.map(|v| (r.key, v)));
-        let all: Vec<_> = values.filter_map(|(k, v)| self.decode(&k, &v)).collect();
+        let values: BTreeMap<String, Bytes> =
+            records.into_iter().filter_map(|r| r.value.map(|v| (r.key, v))).collect();
+        let all: Vec<_> = values.iter().filter_map(|(k, v)| self.decode(k, v)).collect();
         info!("event=registrations endpoints={}", all.len());
         let now = Instant::now();
         let state = &mut *self.hub.lock();
         let lapse = state.is_lapse(now);
         state.book.replace(now, all, lapse);
+        state.known.registrations = values;
         state.dispatcher.retain(&state.book);
     }
 
@@ -123,6 +127,10 @@
                 },
             };
             let mut state = self.hub.lock();
+            match record.value {
+                Some(value) => state.known.registrations.insert(record.key, value),
+                None => state.known.registrations.remove(&record.key),
+            };
             let lapse = state.is_lapse(now);
             log_change(&state.book, &change, lapse);
             state.book.apply(now, change, lapse);
--- a/src/gateway/hub.rs
+++ b/src/gateway/hub.rs
@@ -19,7 +19,7 @@
         ids::EndpointId,
         placement::DemandMeter,
     },
-    gateway::upstream::Pool,
+    gateway::{known::Known, upstream::Pool},
     telemetry::names,
 };
 
@@ -46,6 +46,8 @@
     pub(super) dispatcher: Dispatcher,
     pub(super) suspects: Suspects,
     pub(super) demand: DemandMeter,
+    // For gateways that start while the store is away.
+    pub(super) known: Known,
     // One budget a service.
     budgets: HashMap<ServiceName, RetryBudget>,
     asking: HashMap<Ticket, oneshot::Sender<Placement>>,
@@ -92,6 +94,7 @@
             dispatcher: Dispatcher::new(place, seed),
             suspects: Suspects::new(MAX_BREAKS),
             demand: DemandMeter::new(),
+            known: Known::default(),
             budgets: HashMap::new(),
             asking: HashMap::new(),
             store_away: false,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod forward;
 mod hub;
 mod job;
+mod known;
 mod peers;
 mod planner;
 mod process;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -16,7 +16,7 @@
         follow::{Endpoints, Routes},
         forward,
         hub::{Bounds, Hub},
-        peers,
+        known, peers,
     },
     gossip::Socket,
     http::{self, ServeLimits, StopSignal, stop_channel},
@@ -66,6 +66,8 @@
     pub peers: Socket,
     /// The address of `peers`.
     pub peer_address: SocketAddr,
+    /// For gateways that ask what this one knows, at the same address over TCP.
+    pub known: TcpListener,
 }
 
 /// A running gateway.
@@ -84,6 +86,9 @@
     tokio::spawn(follow(store.clone(), Routes { hub: hub.clone() }));
     tokio::spawn(follow(store, Endpoints::new(hub.clone())));
     let own = listeners.peer_address;
+    let others = config.seeds.iter().map(|ip| SocketAddr::new(*ip, own.port()));
+    let others = others.filter(|address| *address != own).collect();
+    tokio::spawn(known::ask_others(hub.clone(), others));
     tokio::spawn(peers::run(hub.clone(), listeners.peers, own, config.seeds));
     tokio::spawn(pump(hub.clone()));
     tokio::spawn(expire(hub.clone()));
@@ -95,6 +100,11 @@
     };
     let server =
         tokio::spawn(http::serve_within(listeners.callers, handler, stopped.clone(), limits));
+    let known = {
+        let hub = hub.clone();
+        move |req: Request<Incoming>| known::answer(hub.clone(), req)
+    };
+    tokio::spawn(http::serve(listeners.known, known, stopped.clone()));
     tokio::spawn(http::serve(listeners.ready, ready_handler(hub.clone()), stopped));
     Gateway { hub, stop, server }
 }
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -273,3 +273,26 @@
     #[prost(uint32, tag = "2")]
     pub breaks: u32,
 }
+
+/// What a gateway knows of the store's records, for one that starts while the store
+/// is away. It is asked for over HTTP, since it fits no datagram.
+#[derive(Clone, PartialEq, Message)]
+pub struct KnownRecords {
+    /// The configuration in force, as the store gave it.
+    #[prost(bytes = "vec", tag = "1")]
+    pub configuration: Vec<u8>,
+    /// Registrations of endpoints.
+    #[prost(message, repeated, tag = "2")]
+    pub registrations: Vec<KnownRecord>,
+}
+
+/// A record of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct KnownRecord {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Its value.
+    #[prost(bytes = "vec", tag = "2")]
+    pub value: Vec<u8>,
+}
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -6,6 +6,7 @@
 mod socket;
 
 pub use messages::{
-    Body, Datagram, Demand, Held, Hello, Load, Peer, State, Suspicion, Wish, WishKind,
+    Body, Datagram, Demand, Held, Hello, KnownRecord, KnownRecords, Load, Peer, State, Suspicion,
+    Wish, WishKind,
 };
 pub use socket::{MAX_DATAGRAM_BYTES, Socket};
--- a/tests/gateway/bed.rs
+++ b/tests/gateway/bed.rs
@@ -1,6 +1,10 @@
 //! A gateway before a stand-in of the platform's store.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use goldcrestpitch::{
     fakes::{FakeLog, LogFaults},
@@ -26,6 +30,7 @@
     pub store: Store,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
+    pub peer: SocketAddr,
     pub gateway: Gateway,
     _stop: http::StopSignal,
 }
@@ -92,6 +97,11 @@
     /// A gateway that knows neither routes nor endpoints.
     pub async fn empty() -> Self {
         let log = FakeLog::new(LogFaults::default(), 7);
+        Self::beside(log, "127.0.0.1:0".parse().unwrap(), Vec::new()).await
+    }
+
+    /// A gateway with an address for peers, some of which it is told.
+    pub async fn beside(log: FakeLog, peer: SocketAddr, seeds: Vec<IpAddr>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (stop, stopped) = http::stop_channel();
@@ -99,13 +109,14 @@
         let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let ready = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (callers_at, ready_at) = (callers.local_addr().unwrap(), ready.local_addr().unwrap());
-        let peer_address = "127.0.0.1:0".parse().unwrap();
+        let known = TcpListener::bind(peer).await.unwrap();
+        let peer_address = known.local_addr().unwrap();
         let peers = Socket::bind(peer_address).await.unwrap();
         let config = GatewayConfig {
             zone: "east".into(),
             regions: vec![("east".into(), "r".into())],
             store: address,
-            seeds: Vec::new(),
+            seeds,
             bounds: Bounds {
                 retry_ratio: 0.2,
                 retry_window: Duration::from_secs(10),
@@ -113,10 +124,18 @@
                 grace: Duration::from_secs(4),
             },
         };
-        let listeners = Listeners { callers, ready, peers, peer_address };
+        let listeners = Listeners { callers, ready, peers, peer_address, known };
         let gateway = gateway::start(config, listeners);
         let store = Store::new(address);
-        Self { log, store, callers: callers_at, ready: ready_at, gateway, _stop: stop }
+        Self {
+            log,
+            store,
+            callers: callers_at,
+            ready: ready_at,
+            peer: peer_address,
+            gateway,
+            _stop: stop,
+        }
     }
 
     /// A gateway with the usual routes before endpoints, which it knows.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! The gateway before scripted endpoints on loopback: one module for each part
 //! of the platform's rules. No assertion is about time.
 
+mod away;
 mod bed;
 mod config;
 mod drain;
