Engines in whose place others answer are left out; a young gateway takes its part

Change: an endpoint that answers 421 and of which no agent tells is left out for 3 s; within the first budget window a gateway shares the allowance with as many as its settings name.

Tests: forwarding (left out; waits when all are gone; an engine whose agent tells is kept), gateway/retries (part of the allowance).

--- a/src/core/forwarding/choice.rs
+++ b/src/core/forwarding/choice.rs
@@ -98,8 +98,8 @@
         let mut best: Option<(f64, EndpointId, Option<Wanted>)> = None;
         let of_service = |e: &&Endpoint| e.registration.service == waiting.service;
         let untried = |e: &&Endpoint| !waiting.tried.contains(e.id());
-        let mut able: Vec<&Endpoint> =
-            book.iter().filter(of_service).filter(|e| e.is_usable()).collect();
+        let there = |e: &&Endpoint| e.is_usable() && !self.is_gone(now, e.id());
+        let mut able: Vec<&Endpoint> = book.iter().filter(of_service).filter(there).collect();
         let usable = able.iter().any(untried);
         able.retain(|e| service.engine.is_none() || holds(e, &waiting.needs));
         able.sort_by_key(|e| self.place.order(&e.registration.zone));
--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -40,6 +40,9 @@
 const WANT_LIFETIME: Duration = Duration::from_millis(500);
 /// How long an endpoint whose connections failed is left alone.
 const AVOID_FOR: Duration = Duration::from_millis(1500);
+/// How long an endpoint counts as gone after another has answered in its place.
+/// Source: a registration lapses, or is renewed under another id, within this time.
+const GONE_FOR: Duration = Duration::from_millis(3000);
 /// Prompt parts that are remembered per endpoint.
 const MAX_PARTS: usize = 512;
 
@@ -115,6 +118,7 @@
     running: HashMap<Ticket, Running>,
     loads: HashMap<EndpointId, EndpointLoad>,
     pub(super) avoided: HashMap<EndpointId, Instant>,
+    gone: HashMap<EndpointId, Instant>,
     pub(super) parts: HashMap<EndpointId, Vec<u64>>,
     // When the load of an adapter was first wanted.
     pub(super) wanted: HashMap<Wanted, Instant>,
@@ -136,6 +140,7 @@
             running: HashMap::new(),
             loads: HashMap::new(),
             avoided: HashMap::new(),
+            gone: HashMap::new(),
             parts: HashMap::new(),
             wanted: HashMap::new(),
             used: HashMap::new(),
@@ -219,6 +224,19 @@
         self.avoided.insert(endpoint.clone(), now + AVOID_FOR);
     }
 
+    /// What answers at an endpoint's address is another, or lacks what was asked for.
+    /// The endpoint is gone if the agent beside it does not tell otherwise.
+    pub fn misdirected(&mut self, now: Instant, endpoint: &EndpointId) {
+        if self.load(endpoint).report_age(now).is_none() {
+            self.gone.insert(endpoint.clone(), now + GONE_FOR);
+        }
+    }
+
+    /// Whether an endpoint was found gone lately.
+    pub(super) fn is_gone(&self, now: Instant, endpoint: &str) -> bool {
+        self.gone.get(endpoint).is_some_and(|until| now < *until)
+    }
+
     /// An endpoint reported its load.
     pub fn reported(&mut self, now: Instant, endpoint: &EndpointId, reported: Reported) {
         self.loads.entry(endpoint.clone()).or_default().reported(now, reported);
@@ -235,6 +253,7 @@
         self.loads.retain(|id, _| book.get(id).is_some() || running.contains(&id));
         self.parts.retain(|id, _| book.get(id).is_some());
         self.avoided.retain(|id, _| book.get(id).is_some());
+        self.gone.retain(|id, _| book.get(id).is_some());
     }
 
     /// Number of waiting requests.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -111,8 +111,10 @@
             Failed::NotRun(why) => {
                 self.sends += 1;
                 info!("event=not_run id={id} endpoint={endpoint} why={why:?}");
-                if why == NotRun::Refused {
-                    self.hub.lock().dispatcher.avoid(now, endpoint);
+                let dispatcher = &mut self.hub.lock().dispatcher;
+                match why {
+                    NotRun::Refused => dispatcher.avoid(now, endpoint),
+                    NotRun::Elsewhere => dispatcher.misdirected(now, endpoint),
                 }
                 self.tried.push(endpoint.clone());
                 Ok(())
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -44,11 +44,14 @@
 const MAX_NAMED: usize = 8;
 
 /// What is known of the others.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Known {
     gateways: HashMap<SocketAddr, Heard>,
     agents: HashMap<EndpointId, AgentFacts>,
     greeted: HashMap<EndpointId, Instant>,
+    started: Instant,
+    // Gateways that the settings name.
+    seeds: usize,
     told_peers: Option<Instant>,
     rounds: usize,
 }
@@ -65,7 +68,7 @@
 
 /// Sends and receives until the process ends.
 pub(super) async fn run(hub: Arc<Hub>, socket: Socket, own: SocketAddr, seeds: Vec<IpAddr>) {
-    let mut known = Known::default();
+    let mut known = Known::new(&seeds);
     let mut planner = Planner::default();
     let now = Instant::now();
     for seed in seeds {
@@ -92,6 +95,18 @@
 }
 
 impl Known {
+    fn new(seeds: &[IpAddr]) -> Self {
+        Self {
+            gateways: HashMap::new(),
+            agents: HashMap::new(),
+            greeted: HashMap::new(),
+            started: Instant::now(),
+            seeds: seeds.len(),
+            told_peers: None,
+            rounds: 0,
+        }
+    }
+
     fn name(&mut self, now: Instant, own: SocketAddr, address: SocketAddr) {
         if address != own {
             let new = || Heard {
@@ -206,7 +221,10 @@
             self.agents.remove(&id);
             state.book.set_told(&id, None);
         }
-        let live = 1 + self.live(now).count();
+        let heard = self.live(now).count();
+        // Who has just started may not hear all with which it shares the budget.
+        let young = now < self.started + hub.bounds().retry_window;
+        let live = 1 + if young { heard.max(self.seeds) } else { heard };
         state.dispatcher.set_processes(live);
         let sharing = self.sharing(now, own, state.dispatcher.place());
         state.dispatcher.set_sharing(sharing);
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -406,3 +406,25 @@
     }
     assert_eq!(silent, 0);
 }
+
+#[test]
+fn an_endpoint_in_whose_place_another_answers_gets_no_request() {
+    let engines = [engine("old", "east", &[("m", &[])]), engine("live", "west", &[("m", &[])])];
+    let mut gateway = Gateway::new(&engines);
+    let first = gateway.ask(1, needs("m", None, 100));
+    assert_eq!(sent_to(&gateway.poll(), first).unwrap().as_ref(), "old");
+    gateway.dispatcher.misdirected(gateway.now, &"old".into());
+    // The agent of the other lives: it only lacked what was asked for.
+    gateway.dispatcher.reported(gateway.now, &"live".into(), Reported::default());
+    gateway.dispatcher.misdirected(gateway.now, &"live".into());
+    for _ in 0..20 {
+        let ticket = gateway.ask(1, needs("m", None, 100));
+        assert_eq!(sent_to(&gateway.poll(), ticket).unwrap().as_ref(), "live");
+        gateway.dispatcher.end(ticket);
+    }
+    // When all are gone, requests wait for the next registrations.
+    gateway.pass(1_600);
+    gateway.dispatcher.misdirected(gateway.now, &"live".into());
+    gateway.ask(1, needs("m", None, 100));
+    assert!(gateway.poll().is_empty());
+}
--- a/tests/gateway/bed.rs
+++ b/tests/gateway/bed.rs
@@ -141,13 +141,18 @@
     /// A gateway with the usual routes before endpoints, which it knows.
     pub async fn start(endpoints: &[&Endpoint]) -> Self {
         let bed = Self::empty().await;
-        bed.configure(1, &routes()).await;
+        bed.serve(endpoints).await;
+        bed
+    }
+
+    /// Makes the usual routes and endpoints known.
+    pub async fn serve(&self, endpoints: &[&Endpoint]) {
+        self.configure(1, &routes()).await;
         for (i, endpoint) in endpoints.iter().enumerate() {
-            bed.register(&format!("i-{i}"), endpoint.address, "ready", 1).await;
+            self.register(&format!("i-{i}"), endpoint.address, "ready", 1).await;
         }
-        bed.wait_version(1).await;
-        bed.wait_endpoints(endpoints.len()).await;
-        bed
+        self.wait_version(1).await;
+        self.wait_endpoints(endpoints.len()).await;
     }
 
     pub async fn configure(&self, version: u64, routes: &[Value]) {
--- a/tests/gateway/retries.rs
+++ b/tests/gateway/retries.rs
@@ -1,7 +1,8 @@
 //! How often a request is sent, and for whom.
 
-use std::time::Duration;
+use std::{net::IpAddr, time::Duration};
 
+use goldcrestpitch::fakes::{FakeLog, LogFaults};
 use tokio::time;
 
 use crate::{
@@ -43,6 +44,25 @@
     });
 }
 
+#[test]
+fn a_gateway_that_has_just_started_takes_its_part_of_the_allowance_only() {
+    run(async {
+        let all = [failing().await, failing().await];
+        // Three others that it is told of and has not heard.
+        let others = (2..5).map(|i| IpAddr::from([127, 0, 0, i])).collect();
+        let log = FakeLog::new(LogFaults::default(), 7);
+        let bed = Bed::beside(log, "127.0.0.1:0".parse().unwrap(), others).await;
+        bed.serve(&all.each_ref()).await;
+        let requests = 8;
+        for i in 0..requests {
+            bed.call("GET", "/read/1", &format!("x-request-id: q{i}\r\n"), "").await;
+        }
+        let arrivals: usize = all.iter().map(|e| e.seen().len()).sum();
+        // A fifth of its requests and a quarter of the allowance of four.
+        assert!(arrivals <= requests + requests / 5 + 1, "{arrivals}");
+    });
+}
+
 #[test]
 fn a_request_that_crashes_endpoints_is_run_no_more() {
     run(async {
