--- a/src/core/forwarding/choice.rs
+++ b/src/core/forwarding/choice.rs
@@ -65,8 +65,8 @@
 
 impl Place {
     /// Order of availability zones, those of a region together.
-    pub fn order(&self, zone: &str) -> (Option<Arc<str>>, Arc<str>) {
-        (self.regions.get(zone).cloned(), zone.into())
+    pub fn order<'a>(&'a self, zone: &'a str) -> (Option<&'a str>, &'a str) {
+        (self.regions.get(zone).map(|region| &**region), zone)
     }
 
     fn cost_ms(&self, zone: &str) -> f64 {
@@ -105,13 +105,18 @@
         let mut able: Vec<&Endpoint> = book.iter().filter(of_service).filter(there).collect();
         let usable = able.iter().any(untried);
         able.retain(|e| service.engine.is_none() || holds(e, &waiting.needs));
-        able.sort_by_key(|e| self.place.order(&e.registration.zone));
+        able.sort_by(|a, b| {
+            let (a, b) = (&a.registration.zone, &b.registration.zone);
+            self.place.order(a).cmp(&self.place.order(b))
+        });
         let resident = able.iter().any(untried);
         let of = able.len();
         for (at, endpoint) in able.into_iter().enumerate().filter(|(_, e)| untried(e)) {
             let part = self.sharing.part(at, of);
             let score = self.score(now, service, endpoint, &waiting.needs, part);
             let Some(score) = score else { continue };
+            let jitter = if service.engine.is_some() { self.rng.f64() * JITTER_MS } else { 0.0 };
+            let score = score + jitter;
             let lacking = service.engine.as_ref().and_then(|_| lacking(endpoint, &waiting.needs));
             let cost = lacking.as_ref().map_or(0.0, |w| match self.wanted.contains_key(w) {
                 true => ADAPTER_COMING_MS,
@@ -127,7 +132,7 @@
 
     /// How soon the endpoint would answer, milliseconds; nothing when it is full.
     fn score(
-        &mut self,
+        &self,
         now: Instant,
         service: &Service,
         endpoint: &Endpoint,
@@ -144,21 +149,21 @@
         let avoided = if avoided { AVOIDED_COST_MS } else { 0.0 };
         let near = avoided + self.place.cost_ms(&endpoint.registration.zone);
         let answer = match &service.engine {
-            Some(spec) => self.engine_score(now, spec, endpoint, needs, part)?,
-            None => plain_score(endpoint, &load)?,
+            Some(spec) => self.engine_score(now, spec, endpoint, load, needs, part)?,
+            None => plain_score(endpoint, load)?,
         };
         Some(near + answer)
     }
 
     fn engine_score(
-        &mut self,
+        &self,
         now: Instant,
         spec: &EngineSpec,
         endpoint: &Endpoint,
+        load: &EndpointLoad,
         needs: &Needs,
         part: f64,
     ) -> Option<f64> {
-        let load = self.load(endpoint.id());
         let running = load.all_running(now);
         let slots = if spec.slots == 0 { endpoint.registration.slots } else { spec.slots };
         let full = slots <= running || MAX_MEMORY_SHARE <= load.memory_share(now, spec.kv_tokens);
@@ -170,9 +175,8 @@
             return None;
         }
         let first = BASE_FIRST_TOKEN.as_secs_f64() * 1e3 + (reading + prompt) / READ_TOKENS_PER_MS;
-        let jitter = self.rng.f64() * JITTER_MS;
         let spread = spread_ms(endpoint, needs, part);
-        Some(first * load.pace() + f64::from(running) * RUNNING_COST_MS + spread + jitter)
+        Some(first * load.pace() + f64::from(running) * RUNNING_COST_MS + spread)
     }
 
     /// Tokens of the prompt without its first parts that the endpoint has read before.
--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -204,8 +204,8 @@
     }
 
     /// The load of an endpoint.
-    pub fn load(&self, endpoint: &str) -> EndpointLoad {
-        self.loads.get(endpoint).cloned().unwrap_or_default()
+    pub fn load(&self, endpoint: &str) -> &EndpointLoad {
+        self.loads.get(endpoint).unwrap_or(EndpointLoad::idle())
     }
 
     /// Forgets endpoints that are gone.
--- a/src/core/forwarding/load.rs
+++ b/src/core/forwarding/load.rs
@@ -64,7 +64,25 @@
     owes_since: Option<Instant>,
 }
 
+// An endpoint that nothing is known of.
+static IDLE: EndpointLoad = EndpointLoad {
+    running: 0,
+    unread: 0,
+    unread_tokens: 0,
+    memory_tokens: 0,
+    recent: VecDeque::new(),
+    report: None,
+    pace: None,
+    heard: None,
+    owes_since: None,
+};
+
 impl EndpointLoad {
+    /// The load of an endpoint that nothing is known of.
+    pub fn idle() -> &'static Self {
+        &IDLE
+    }
+
     /// A request was sent of whose prompt so many tokens are to be read.
     pub fn sent(&mut self, now: Instant, prompt_tokens: u32, memory_tokens: u64) {
         self.recent.retain(|(at, _)| now < *at + READ_WINDOW);
--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -19,7 +19,7 @@
         },
     },
     fleet::{Followed, follow},
-    gossip::{Body, Held, Hello, Load, Socket, State, Wish, WishKind},
+    gossip::{Body, Held, Hello, Load, Socket, State, Wish, WishKind, some_names},
     platform::{
         CONFIG_KEY, CONFIGURATION, Engine, KeyedRecord, STATUS, Store, Topic, decode_configuration,
     },
@@ -44,8 +44,6 @@
 const PLANS_FOR: Duration = Duration::from_millis(2000);
 /// A gateway whose requests used the engine so lately hears of its load.
 const USES_FOR: Duration = Duration::from_millis(2000);
-/// Most gateways that are named in one datagram.
-const MAX_NAMED: usize = 8;
 /// Fencing tokens that one start of an agent may use.
 const TOKENS_PER_START: u64 = 1_000_000;
 /// Longest wait of a read for a change of the configuration. The models of a
@@ -234,7 +232,7 @@
             info!("event=gateway_heard at={from}");
         }
         if new || hello.asks {
-            self.tell(&mut state, now, &|address, _| address == from);
+            self.tell(&mut state, now, |address| address == from);
         }
         drop(state);
         if !hello.wishes.is_empty() {
@@ -244,7 +242,7 @@
 
     /// Tells gateways what the engine holds and its load: those that `whole` picks
     /// all of it, others that use the engine its load.
-    fn tell(&self, state: &mut Inner, now: Instant, whole: &dyn Fn(SocketAddr, &Gateway) -> bool) {
+    fn tell(&self, state: &mut Inner, now: Instant, whole: impl Fn(SocketAddr) -> bool) {
         let Some(view) = state.seen.clone() else { return };
         state.number += 1;
         let message = self.message(state, &view, now);
@@ -254,7 +252,7 @@
                 continue;
             }
             let uses = gateway.used.is_some_and(|at| now < at + USES_FOR);
-            if whole(*address, gateway) || gateway.told_all + TELL_ALL_EVERY <= now {
+            if whole(*address) || gateway.told_all + TELL_ALL_EVERY <= now {
                 gateway.told_all = now;
                 self.socket.send(*address, Body::State(message.clone()));
             } else if uses || planner == Some(*address) {
@@ -265,10 +263,7 @@
 
     fn message(&self, state: &Inner, view: &EngineView, now: Instant) -> State {
         let live = state.gateways.iter().filter(|(_, g)| now < g.at + SILENT_AFTER);
-        // Others each time, so that all are named in time.
-        let skipped = state.number as usize % state.gateways.len().max(1);
-        let named = live.map(|(address, _)| address.to_string()).cycle().skip(skipped);
-        let named = named.take(MAX_NAMED.min(state.gateways.len()));
+        let live: Vec<SocketAddr> = live.map(|(address, _)| *address).collect();
         State {
             engine: self.config.engine.to_string(),
             number: state.number,
@@ -282,7 +277,7 @@
             kv_used: view.reported.kv_used,
             kv_total: view.reported.kv_total,
             draining: view.state == EndpointState::Draining,
-            gateways: named.collect(),
+            gateways: some_names(&live, state.number as usize),
             loading: state.desk.loading().map(ToString::to_string).unwrap_or_default(),
             started: self.started,
             taken: state.desk.taken(view),
@@ -340,7 +335,7 @@
                 let due = told + if load { TELL_LOAD_EVERY } else { TELL_EVERY };
                 if held || before < unread || due <= now {
                     told = now;
-                    shared.tell(&mut state, now, &|_, _| held);
+                    shared.tell(&mut state, now, |_| held);
                 }
                 state.gateways.retain(|_, g| now < g.at + SILENT_AFTER);
             }
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -120,16 +120,14 @@
                 Ok(())
             }
             Failed::MayHaveRun(text) => {
-                self.sends += 1;
-                self.runs += 1;
+                self.count_run();
                 warn!("event=broken id={id} endpoint={endpoint} error=\"{text}\"");
                 self.tried.push(endpoint.clone());
                 self.check_crash(address);
                 if self.may_repeat() { Ok(()) } else { Err(self.failed()) }
             }
             Failed::TimeUp => {
-                self.sends += 1;
-                self.runs += 1;
+                self.count_run();
                 warn!("event=silent id={id} endpoint={endpoint}");
                 self.tried.push(endpoint.clone());
                 self.hub.lock().dispatcher.avoid(now, endpoint);
@@ -167,20 +165,7 @@
         running: Running,
         last_event: Option<&str>,
     ) -> Result<Answer, Failed> {
-        let kept = self.hub.pool.take(address);
-        let was_kept = kept.is_some();
-        let mut connection = match kept {
-            Some(connection) => connection,
-            None => Connection::open(address).await.map_err(|e| Failed::NotSent(e.to_string()))?,
-        };
-        let mut response = self.send_on(&mut connection, endpoint, last_event).await;
-        if matches!(response, Err(Failed::NotSent(_))) && was_kept {
-            // The endpoint closed the kept connection before the request was on it.
-            connection =
-                Connection::open(address).await.map_err(|e| Failed::NotSent(e.to_string()))?;
-            response = self.send_on(&mut connection, endpoint, last_event).await;
-        }
-        let response = response?;
+        let (response, connection) = self.exchange(endpoint, address, last_event).await?;
         let state = platform::engine_state(response.status(), response.headers(), &self.id);
         if !state.is_ours {
             return Err(Failed::MayHaveRun("an answer to another request came".to_owned()));
@@ -196,6 +181,26 @@
         Ok(Answer { response, state, connection, running, endpoint })
     }
 
+    /// Sends the request on a kept connection, or on a new one.
+    async fn exchange(
+        &self,
+        endpoint: &EndpointId,
+        address: SocketAddr,
+        last_event: Option<&str>,
+    ) -> Result<(Response<Incoming>, Connection), Failed> {
+        if let Some(mut kept) = self.hub.pool.take(address) {
+            match self.send_on(&mut kept, endpoint, last_event).await {
+                // The endpoint closed it before the request was on it.
+                Err(Failed::NotSent(_)) => {}
+                response => return Ok((response?, kept)),
+            }
+        }
+        let opened = Connection::open(address).await;
+        let mut connection = opened.map_err(|e| Failed::NotSent(e.to_string()))?;
+        let response = self.send_on(&mut connection, endpoint, last_event).await?;
+        Ok((response, connection))
+    }
+
     /// Sends the request on a connection and waits for the head of the answer.
     async fn send_on(
         &self,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -48,7 +48,8 @@
     };
     let Some(route) = find(&table, &head) else {
         let refusal = Refusal::new(Code::UnknownPath, "no route has this host and path");
-        info!("event=refused code=1011 path={} version={}", head.uri.path(), table.version);
+        let code = refusal.code.number();
+        info!("event=refused code={code} path={} version={}", head.uri.path(), table.version);
         return answer::reply(&refusal);
     };
     let limits = table.limits;
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -135,11 +135,6 @@
         self.route.kind.may_repeat() && self.runs < self.route.max_attempts
     }
 
-    /// Counts a run that ended without its whole answer; see [`Self::may_repeat`].
-    pub(super) fn broke_off(&mut self, endpoint: &EndpointId) {
-        self.tried.push(endpoint.clone());
-    }
-
     /// Holds an answer until it is whole; nothing when another attempt may follow.
     async fn plain(&mut self, answer: Answer) -> Result<Reply, Option<Refusal>> {
         let Answer { response, state, connection, running, endpoint } = answer;
@@ -147,8 +142,7 @@
         let (head, body) = response.into_parts();
         let left = self.deadline.saturating_duration_since(Instant::now()) + DEADLINE_SLACK;
         let read = Limited::new(body, MAX_ANSWER_BYTES).collect();
-        self.sends += 1;
-        self.runs += 1;
+        self.count_run();
         let whole = match time::timeout(left, read).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(err)) => {
@@ -228,7 +222,7 @@
     /// One line for the choice of an endpoint, with what decided it.
     pub(super) fn log_sent(&self, endpoint: &EndpointId) {
         let now = Instant::now();
-        let load = self.hub.lock().dispatcher.load(endpoint);
+        let load = self.hub.lock().dispatcher.load(endpoint).clone();
         info!(
             "event=sent id={} endpoint={endpoint} attempt={} waited_ms={} left_ms={} tokens={} \
              running={} unread={} reading={:.0} report_ms={} pace={:.1}",
@@ -280,8 +274,8 @@
         platform::last_event(&self.headers)
     }
 
-    /// Counts a run whose head has come.
-    pub(super) fn head_came(&mut self) {
+    /// Counts a send that has run, or may have.
+    pub(super) fn count_run(&mut self) {
         self.sends += 1;
         self.runs += 1;
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -13,14 +13,16 @@
 
 use crate::{
     core::{
-        forwarding::{Item, Place, Reported, Sharing, Wanted},
+        forwarding::{Endpoint, Item, Place, Reported, Sharing, Wanted},
         ids::EndpointId,
     },
     gateway::{
         hub::{self, Hub},
         planner::{self, AgentFacts, Planner},
     },
-    gossip::{Body, Demand, Hello, Load, Peer, Socket, State, Suspicion, Wish, WishKind},
+    gossip::{
+        Body, Demand, Hello, Load, Peer, Socket, State, Suspicion, Wish, WishKind, some_names,
+    },
     telemetry::names,
 };
 
@@ -40,8 +42,6 @@
 const TELL_SUSPICIONS_FOR: Duration = Duration::from_secs(3);
 /// Most suspicions in one datagram.
 const MAX_SUSPICIONS: usize = 24;
-/// Most gateways that are named in one datagram.
-const MAX_NAMED: usize = 8;
 
 /// What is known of the others.
 #[derive(Debug)]
@@ -80,10 +80,10 @@
         tokio::select! {
             _ = ticks.tick() => {
                 others.expire(&hub, own);
-                others.tell_peers(&hub, &socket, own, false);
+                others.tell_peers(&hub, &socket, false);
                 others.tell_agents(&hub, &socket, own, &mut planner);
             }
-            () = hub.urgent.notified() => others.tell_peers(&hub, &socket, own, true),
+            () = hub.urgent.notified() => others.tell_peers(&hub, &socket, true),
             () = hub.wanted.notified() => tell_wanted(&hub, &socket, own),
             received = socket.receive() => {
                 if let Ok((from, body)) = received {
@@ -224,12 +224,12 @@
         let heard = self.live(now).count();
         // Who has just started may not hear all with which it shares the budget.
         let young = now < self.started + hub.bounds().retry_window;
-        let live = 1 + if young { heard.max(self.seeds) } else { heard };
-        state.dispatcher.set_processes(live);
+        let others = if young { heard.max(self.seeds) } else { heard };
+        state.dispatcher.set_processes(1 + others);
         let sharing = self.sharing(now, own, state.dispatcher.place());
         state.dispatcher.set_sharing(sharing);
         state.demand.expire(now);
-        gauge!(names::GATEWAYS).set(live as f64);
+        gauge!(names::GATEWAYS).set((1 + heard) as f64);
     }
 
     fn live(&self, now: Instant) -> impl Iterator<Item = (&SocketAddr, &Heard)> + Clone {
@@ -239,21 +239,20 @@
 
     /// The position of this gateway among those that take requests.
     fn sharing(&self, now: Instant, own: SocketAddr, place: &Place) -> Sharing {
-        let key = |zone: &str, address| (place.order(zone), address);
-        let here = key(&place.zone, own);
+        let here = (place.order(&place.zone), own);
         let others = self.live(now).filter(|(_, h)| h.serving);
-        let before = others.clone().filter(|(a, h)| key(&h.zone, **a) < here).count();
+        let before = others.clone().filter(|(a, h)| (place.order(&h.zone), **a) < here).count();
         Sharing::new(before, others.count() + 1)
     }
 
     /// The gateway with the lowest address among those that serve plans for all.
     fn plans(&self, now: Instant, own: SocketAddr, serving: bool) -> bool {
-        serving && self.live(now).filter(|(_, h)| h.serving).all(|(address, _)| own < *address)
+        serving && self.planner(now).is_none_or(|other| own < other)
     }
 
     /// Tells the peer that plans of demand, and all now and then, or at once, that
     /// this gateway is there.
-    fn tell_peers(&mut self, hub: &Hub, socket: &Socket, own: SocketAddr, at_once: bool) {
+    fn tell_peers(&mut self, hub: &Hub, socket: &Socket, at_once: bool) {
         let now = Instant::now();
         let serving = hub.is_ready();
         let (suspicions, demand, zone) = {
@@ -270,7 +269,8 @@
         }
         self.rounds += 1;
         let planner = self.planner(now);
-        let gateways = self.some_gateways(now, own);
+        let live: Vec<SocketAddr> = self.live(now).map(|(address, _)| *address).collect();
+        let gateways = some_names(&live, self.rounds);
         let peer = Peer { serving, demand, suspicions, gateways, zone };
         let greeting = Peer { demand: Vec::new(), ..peer.clone() };
         for address in self.gateways.keys() {
@@ -292,12 +292,10 @@
         self.live(now).filter(|(_, h)| h.serving).map(|(address, _)| *address).min()
     }
 
-    /// Addresses of live gateways, others each round, so that all are named in time.
-    fn some_gateways(&self, now: Instant, own: SocketAddr) -> Vec<String> {
-        let live: Vec<SocketAddr> = self.live(now).map(|(address, _)| *address).collect();
-        let from = self.rounds % live.len().max(1);
-        let some = live.iter().cycle().skip(from).take(live.len().min(MAX_NAMED - 1));
-        some.chain([&own]).map(ToString::to_string).collect()
+    /// The demand that this gateway and the others see.
+    fn demand(&self, now: Instant, state: &hub::State) -> Vec<Demand> {
+        let theirs = self.live(now).flat_map(|(_, h)| h.demand.iter().cloned());
+        theirs.chain(planner::own_demand(now, state)).collect()
     }
 
     fn tell_agents(&mut self, hub: &Hub, socket: &Socket, own: SocketAddr, planner: &mut Planner) {
@@ -305,15 +303,14 @@
         let serving = hub.is_ready();
         let plans = self.plans(now, own, serving);
         let mut state = hub.lock();
-        let theirs = self.live(now).flat_map(|(_, h)| h.demand.iter().cloned());
-        let demand: Vec<Demand> = theirs.chain(planner::own_demand(now, &state)).collect();
+        let demand = if plans { self.demand(now, &state) } else { Vec::new() };
         let planned = planner.run(now, &state, &self.agents, &demand, plans);
         let mut wishes: HashMap<EndpointId, Vec<Wish>> = HashMap::new();
         for wish in &planned {
             wishes.entry(wish.engine.clone()).or_default().extend(planner::wishes_of(wish));
         }
-        for wanted in state.dispatcher.wanted() {
-            wishes.entry(wanted.endpoint.clone()).or_default().push(adapter_wish(wanted));
+        for (id, adapters) in adapter_wishes(&state) {
+            wishes.entry(id).or_default().extend(adapters);
         }
         let mut all_used = state.dispatcher.take_used();
         for (id, address) in agents(&state, own) {
@@ -331,30 +328,37 @@
     }
 }
 
-/// Agents are on the VMs of their engines and listen at the same port as gateways.
 fn agents(state: &hub::State, own: SocketAddr) -> Vec<(EndpointId, SocketAddr)> {
     let engines = state.book.iter().filter(|e| {
         let service = state.table.as_ref().and_then(|t| t.service(&e.registration.service));
         service.is_some_and(|s| s.engine.is_some())
     });
-    let address = |ip| SocketAddr::new(ip, own.port());
-    engines.map(|e| (e.id().clone(), address(e.registration.address.ip()))).collect()
+    engines.map(|e| (e.id().clone(), agent_address(e, own))).collect()
+}
+
+/// Agents are on the VMs of their engines and listen at the same port as gateways.
+fn agent_address(engine: &Endpoint, own: SocketAddr) -> SocketAddr {
+    SocketAddr::new(engine.registration.address.ip(), own.port())
 }
 
 /// Tells the agents concerned which adapters requests wait for.
 fn tell_wanted(hub: &Hub, socket: &Socket, own: SocketAddr) {
     let serving = hub.is_ready();
     let state = hub.lock();
-    let mut wishes: HashMap<IpAddr, Vec<Wish>> = HashMap::new();
-    for wanted in state.dispatcher.wanted() {
-        let Some(endpoint) = state.book.get(&wanted.endpoint) else { continue };
-        let ip = endpoint.registration.address.ip();
-        wishes.entry(ip).or_default().push(adapter_wish(wanted));
-    }
-    for (ip, wishes) in wishes {
+    for (id, wishes) in adapter_wishes(&state) {
+        let Some(engine) = state.book.get(&id) else { continue };
         let hello = Hello { serving, plans: false, wishes, used: Vec::new(), asks: false };
-        socket.send(SocketAddr::new(ip, own.port()), Body::Hello(hello));
+        socket.send(agent_address(engine, own), Body::Hello(hello));
+    }
+}
+
+/// What the agents are asked to load for requests that wait, by engine.
+fn adapter_wishes(state: &hub::State) -> HashMap<EndpointId, Vec<Wish>> {
+    let mut wishes: HashMap<EndpointId, Vec<Wish>> = HashMap::new();
+    for wanted in state.dispatcher.wanted() {
+        wishes.entry(wanted.endpoint.clone()).or_default().push(adapter_wish(wanted));
     }
+    wishes
 }
 
 /// How a model or an adapter of it is named to agents.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -22,6 +22,7 @@
 /// An endpoint that is silent for so long in the middle of a stream is given up.
 /// Source: callers leave after two seconds at the earliest.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1500);
+
 enum End {
     Whole,
     CallerGone,
@@ -34,7 +35,7 @@
     let mut head = Response::new(());
     *head.status_mut() = answer.response.status();
     *head.headers_mut() = platform::answer_headers(answer.response.headers());
-    job.head_came();
+    job.count_run();
     let (tx, body) = ReplyBody::parts();
     tokio::spawn(pass(job, answer, tx));
     head.map(|()| body)
@@ -64,7 +65,7 @@
                 );
             }
         }
-        job.broke_off(&endpoint);
+        job.tried.push(endpoint.clone());
         if !job.may_repeat() || job.deadline <= Instant::now() {
             return give_up(&job, &tx, "broken", &endpoint).await;
         }
@@ -80,7 +81,7 @@
                     next.endpoint,
                     events.last()
                 );
-                job.head_came();
+                job.count_run();
                 answer = next;
             }
             _ => return give_up(&job, &tx, "broken", &endpoint).await,
@@ -118,7 +119,6 @@
         };
         if !begun && data.has_remaining() {
             begun = true;
-
             running.answered();
         }
         match events.push(&data) {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -9,4 +9,4 @@
     Body, Datagram, Demand, Held, Hello, KnownRecord, KnownRecords, Load, Peer, State, Suspicion,
     Wish, WishKind,
 };
-pub use socket::{MAX_DATAGRAM_BYTES, Socket};
+pub use socket::{MAX_DATAGRAM_BYTES, Socket, some_names};
--- a/src/gossip/socket.rs
+++ b/src/gossip/socket.rs
@@ -11,8 +11,25 @@
 /// Largest datagram that is sent: it fits a frame of Ethernet.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
 
+/// Most gateways that are named in one datagram.
+const MAX_NAMED: usize = 8;
+
 const RECEIVE_BYTES: usize = 2048;
 
+/// Names some of the addresses, others with each number, so that all are named in time.
+///
+/// ```
+/// use goldcrestpitch::gossip::some_names;
+/// let all: Vec<_> = (1..=20).map(|i| ([10, 0, 0, i], 80).into()).collect();
+/// assert_eq!(some_names(&all, 0).len(), 8);
+/// assert_ne!(some_names(&all, 0), some_names(&all, 1));
+/// ```
+pub fn some_names(addresses: &[SocketAddr], number: usize) -> Vec<String> {
+    let skipped = number % addresses.len().max(1);
+    let some = addresses.iter().cycle().skip(skipped).take(addresses.len().min(MAX_NAMED));
+    some.map(ToString::to_string).collect()
+}
+
 /// A socket for datagrams.
 #[derive(Debug)]
 pub struct Socket {
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -29,7 +29,7 @@
     pub listen: SocketAddr,
     /// Address for the balancer's question whether the process is ready.
     pub ready_listen: SocketAddr,
-    /// Address for other processes of the system, UDP.
+    /// Address for other processes of the system, UDP and TCP.
     pub peer_listen: SocketAddr,
     /// Address for metrics.
     pub admin_listen: SocketAddr,
@@ -66,7 +66,12 @@
             grace: r.seconds("bounds", "grace_s", GRACE, MAX_GRACE),
         };
         let levels = r.parsed("logs", "levels");
-        let own = [("listen", listen), ("ready_listen", ready), ("admin_listen", admin)];
+        let own = [
+            ("listen", listen),
+            ("ready_listen", ready),
+            ("peer_listen", peer),
+            ("admin_listen", admin),
+        ];
         r.distinct("gateway", &own);
         if let Some(zone) = &zone
             && !zones.is_empty()
--- a/tests/gateway/away.rs
+++ b/tests/gateway/away.rs
@@ -4,16 +4,12 @@
 
 use crate::{
     bed::{Bed, route, routes},
-    endpoint::{Endpoint, answer},
+    endpoint::good,
     run,
 };
 
 const OTHER_VM: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2));
 
-async fn good() -> Endpoint {
-    Endpoint::start(|seen| answer("200 OK", seen.id(), "fine")).await
-}
-
 #[test]
 fn it_serves_by_what_another_knows_and_goes_on_when_the_store_is_back() {
     run(async {
--- a/tests/gateway/config.rs
+++ b/tests/gateway/config.rs
@@ -2,14 +2,10 @@
 
 use crate::{
     bed::{Bed, route, routes},
-    endpoint::{Endpoint, answer},
+    endpoint::good,
     run,
 };
 
-async fn good() -> Endpoint {
-    Endpoint::start(|seen| answer("200 OK", seen.id(), "fine")).await
-}
-
 #[test]
 fn a_new_version_adds_and_drops_routes() {
     run(async {
--- a/tests/gateway/drain.rs
+++ b/tests/gateway/drain.rs
@@ -6,14 +6,10 @@
 
 use crate::{
     bed::{Bed, read_answer, request},
-    endpoint::{Endpoint, Step, answer},
+    endpoint::{Endpoint, Step, answer, good},
     run,
 };
 
-async fn good() -> Endpoint {
-    Endpoint::start(|seen| answer("200 OK", seen.id(), "fine")).await
-}
-
 async fn call_some(bed: &Bed) {
     for i in 0..6 {
         let got = bed.call("GET", "/read/1", &format!("x-request-id: q{i}\r\n"), "").await;
--- a/tests/gateway/endpoint.rs
+++ b/tests/gateway/endpoint.rs
@@ -262,3 +262,8 @@
 pub fn end() -> Step {
     Step::Send(b"0\r\n\r\n".to_vec())
 }
+
+/// An endpoint that answers every request well.
+pub async fn good() -> Endpoint {
+    Endpoint::start(|seen| answer("200 OK", seen.id(), "fine")).await
+}
--- a/tests/gateway/requests.rs
+++ b/tests/gateway/requests.rs
@@ -7,14 +7,10 @@
 
 use crate::{
     bed::{Bed, read_answer, request},
-    endpoint::{Endpoint, Seen, Step, answer, head, not_run},
+    endpoint::{Endpoint, Seen, Step, answer, good, head, not_run},
     run,
 };
 
-async fn good() -> Endpoint {
-    Endpoint::start(|seen| answer("200 OK", seen.id(), "fine")).await
-}
-
 #[test]
 fn an_answer_passes_unchanged() {
     run(async {
