Log lines name the fingerprint of a request

Sends and failures had the id of the attempt, which is new each time; a learned or cleared crash count left no line. Change: sent, refused and request_end carry the fingerprint; suspect_learned names the reporting gateway and the count before, suspect_cleared the request, count and age; goldcrestpitch_suspected_crashes_total counts.

--- a/src/core/forwarding/suspect_requests.rs
+++ b/src/core/forwarding/suspect_requests.rs
@@ -29,7 +29,7 @@
 /// assert!(!suspects.is_blocked(now, 7));
 /// suspects.record_crash(now, 7);
 /// assert!(suspects.is_blocked(now, 7));
-/// suspects.record_success(7);
+/// suspects.record_success(now, 7);
 /// assert!(!suspects.is_blocked(now, 7));
 /// ```
 #[derive(Clone, Debug)]
@@ -52,16 +52,21 @@
         crashes
     }
 
-    /// Clears the count after a successful run.
-    pub fn record_success(&mut self, fingerprint: u64) {
-        self.by_fingerprint.remove(&fingerprint);
+    /// Clears the count after a successful run; returns it with the age of the last crash.
+    pub fn record_success(&mut self, now: Instant, fingerprint: u64) -> Option<(u32, Duration)> {
+        let suspect = self.by_fingerprint.remove(&fingerprint)?;
+        Some((suspect.crashes, now.saturating_duration_since(suspect.last_crash)))
     }
 
-    /// Merges the count of another process; the higher one wins.
-    pub fn merge(&mut self, now: Instant, fingerprint: u64, crashes: u32) {
-        if self.by_fingerprint.get(&fingerprint).is_none_or(|s| s.crashes < crashes) {
-            self.set(now, fingerprint, crashes);
+    /// Merges the count of another process; the higher one wins. Returns the count before
+    /// if it changed.
+    pub fn merge(&mut self, now: Instant, fingerprint: u64, crashes: u32) -> Option<u32> {
+        let before = self.by_fingerprint.get(&fingerprint).map_or(0, |s| s.crashes);
+        if crashes <= before {
+            return None;
         }
+        self.set(now, fingerprint, crashes);
+        Some(before)
     }
 
     /// Whether the request must no longer be run.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, body::Incoming};
 use log::{info, warn};
+use metrics::counter;
 use tokio::time;
 
 use crate::{
@@ -20,6 +21,7 @@
         upstream::{Connection, SendError},
     },
     platform::{self, ForwardParams, NotRunReason, ResponseHead},
+    telemetry::names,
 };
 
 /// Maximum size of a response that is not streamed, bytes.
@@ -164,7 +166,10 @@
             if crashed {
                 let now = Instant::now();
                 let crashes = shared.lock().suspects.record_crash(now, fingerprint);
-                info!("event=suspect fingerprint={fingerprint:x} breaks={crashes} at={address}");
+                info!(
+                    "event=suspect fingerprint={fingerprint:016x} crashes={crashes} at={address}"
+                );
+                counter!(names::SUSPECTED_CRASHES).increment(1);
                 shared.peer_update_due.notify_one();
             }
         });
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -152,7 +152,13 @@
                 self.add_listed_gateways(now, own, &status.gateways);
                 let mut state = shared.lock();
                 for suspect in &status.suspects {
-                    state.suspects.merge(now, suspect.fingerprint, suspect.crashes);
+                    let (fingerprint, crashes) = (suspect.fingerprint, suspect.crashes);
+                    if let Some(before) = state.suspects.merge(now, fingerprint, crashes) {
+                        info!(
+                            "event=suspect_learned fingerprint={fingerprint:016x} crashes={crashes} \
+                             before={before} from={from}"
+                        );
+                    }
                 }
             }
             Body::EngineStatus(status) => {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -179,7 +179,7 @@
                 return Err(None);
             }
         } else {
-            self.shared.lock().suspects.record_success(self.fingerprint);
+            self.record_success();
         }
         if implies_not_executed(parts.status) {
             return Err(Some(self.endpoint_failed()));
@@ -224,8 +224,10 @@
         }
         counter!(names::REFUSALS, "code" => refusal.code.name()).increment(1);
         info!(
-            "event=refused id={} code={} outcome={} retry_after_ms={} version={} why=\"{}\"",
+            "event=refused id={} fingerprint={:016x} code={} outcome={} retry_after_ms={} version={} \
+             why=\"{}\"",
             self.id(),
+            self.fingerprint,
             refusal.code.number(),
             refusal.outcome.as_str(),
             refusal.retry_after.map_or(0, |d| d.as_millis()),
@@ -241,9 +243,10 @@
         let now = Instant::now();
         let load = self.shared.lock().dispatcher.load(endpoint).clone();
         info!(
-            "event=sent id={} endpoint={endpoint} attempt={} waited_ms={} left_ms={} tokens={} \
-             running={} unread={} reading={:.0} report_ms={} pace={:.1}",
+            "event=sent id={} fingerprint={:016x} endpoint={endpoint} attempt={} waited_ms={} \
+             left_ms={} tokens={} running={} unread={} reading={:.0} report_ms={} pace={:.1}",
             self.id(),
+            self.fingerprint,
             self.tried.len() + 1,
             self.received_at.elapsed().as_millis(),
             self.deadline.saturating_duration_since(now).as_millis(),
@@ -260,9 +263,10 @@
     pub(super) fn log_end(&self, status: StatusCode, how: &str, endpoint: Option<&EndpointId>) {
         let elapsed = self.received_at.elapsed();
         info!(
-            "event=request_end id={} route={} model={} status={} how={how} sends={} tried={} \
-             endpoint={} first_ms={} gap_ms={} ms={}",
+            "event=request_end id={} fingerprint={:016x} route={} model={} status={} how={how} sends={} \
+             tried={} endpoint={} first_ms={} gap_ms={} ms={}",
             self.id(),
+            self.fingerprint,
             self.route.name,
             self.requirements.model.as_deref().unwrap_or("-"),
             status.as_u16(),
@@ -311,7 +315,15 @@
 
     /// Clears the crash suspicion of this request after a complete run.
     pub(super) fn record_success(&self) {
-        self.shared.lock().suspects.record_success(self.fingerprint);
+        let cleared = self.shared.lock().suspects.record_success(Instant::now(), self.fingerprint);
+        if let Some((crashes, age)) = cleared {
+            info!(
+                "event=suspect_cleared id={} fingerprint={:016x} crashes={crashes} age_ms={}",
+                self.id(),
+                self.fingerprint,
+                age.as_millis(),
+            );
+        }
     }
 }
 
