Count a crash at any moment of a run, and decide at each send

Cause: only an attempt that broke before its response head was checked for a crash. Streams, bodies, timeouts and callers that left were not. The quarantine was checked once, when a request arrived, so queued attempts and retries were sent while the crash of the last attempt was still being confirmed. Evidence: nine tests of crashing_requests failed; 8 of 8 endpoints ended after a stream's head, in a body, without a closed connection; copies that ran at the first crash were all sent again. Change: RunGate in core::quarantine records each run from its start to its end. An interrupted run leads to one check per endpoint, whatever the number of its requests; a confirmed crash, or a registration that shows a restart, counts against all requests that ran there or whose caller had just left. A send needs a permit: with unconfirmed crashes and runs in progress a request never risks more endpoints than the limit, and one that is a crash away from it starts alone among such requests. The limit is the three crashes of the platform's rules, and one more when two requests share their crashes. Why it works: a run is counted by how it ends, not by the place in the code that saw the error (a dropped run counts as abandoned), and the permit is taken under the lock that registers the run.

--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -2,6 +2,8 @@
 
 mod crash_history;
 mod registry;
+mod run_gate;
 
 pub use crash_history::{CrashHistory, CrashReport, Verdict};
 pub use registry::{AttemptEnd, Permit, QuarantineRegistry};
+pub use run_gate::{Ended, RunEnd, RunGate, RunId, RunPermit};
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,20 +8,19 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, body::Incoming};
 use log::{info, warn};
-use metrics::counter;
 use tokio::time;
 
 use crate::{
-    core::ids::EndpointId,
+    core::{ids::EndpointId, quarantine::RunEnd},
     errors::{Code, Refusal},
     gateway::{
         refusals,
         request::ProxiedRequest,
+        run::RunGuard,
         shared::{EndpointChoice, RequestGuard},
         upstream::{Connection, SendError},
     },
     platform::{self, ForwardParams, NotRunReason, ResponseHead},
-    telemetry::names,
 };
 
 /// Maximum size of a response that is not streamed, bytes.
@@ -31,10 +30,6 @@
 /// Share of the remaining time to wait for a response head while a further attempt is
 /// possible.
 const RESPONSE_TIMEOUT_SHARE: f64 = 0.4;
-/// Delay before checking whether an endpoint that closed a connection during a request
-/// still accepts connections.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(100);
-
 /// A response whose head has been received.
 #[derive(Debug)]
 pub(super) struct EndpointResponse {
@@ -42,6 +37,7 @@
     pub(super) head: ResponseHead,
     pub(super) connection: Connection,
     pub(super) guard: RequestGuard,
+    pub(super) run: RunGuard,
     pub(super) endpoint: EndpointId,
 }
 
@@ -67,6 +63,7 @@
         last_event: Option<&str>,
     ) -> Result<EndpointResponse, Refusal> {
         loop {
+            self.wait_for_permit().await?;
             let tried = self.tried.clone();
             let choosing = self.shared.choose_endpoint(
                 &self.route,
@@ -92,11 +89,22 @@
             if 0 < self.sends && !self.reserve_retry() {
                 return Err(self.retry_budget_exhausted());
             }
+            // The wait for an endpoint may have been long, so the permit may be gone.
+            let Some(run) = self.start_run(&endpoint, address) else { continue };
             self.retry_reserved = false;
             self.log_sent(&endpoint);
-            match self.send(&endpoint, address, guard, last_event).await {
-                Ok(received) => return Ok(received),
-                Err(err) => self.handle_failure(&endpoint, address, err)?,
+            match self.send(&endpoint, address, last_event).await {
+                Ok((response, head, connection)) => {
+                    return Ok(EndpointResponse {
+                        response,
+                        head,
+                        connection,
+                        guard,
+                        run,
+                        endpoint,
+                    });
+                }
+                Err(err) => self.handle_failure(&endpoint, address, run, err)?,
             }
         }
     }
@@ -106,6 +114,7 @@
         &mut self,
         endpoint: &EndpointId,
         address: SocketAddr,
+        run: RunGuard,
         err: AttemptError,
     ) -> Result<(), Refusal> {
         let id = self.id().into_owned();
@@ -113,6 +122,7 @@
         match err {
             AttemptError::NotSent(text) => {
                 warn!("event=not_sent id={id} endpoint={endpoint} error=\"{text}\"");
+                run.end_unreachable();
                 self.shared.pool.close_all(address);
                 self.shared.lock().dispatcher.avoid(now, endpoint);
                 self.tried.push(endpoint.clone());
@@ -120,6 +130,7 @@
             }
             AttemptError::NotRun(reason) => {
                 self.sends += 1;
+                run.end(RunEnd::Failed);
                 info!("event=not_run id={id} endpoint={endpoint} why={reason:?}");
                 let dispatcher = &mut self.shared.lock().dispatcher;
                 match reason {
@@ -133,12 +144,14 @@
                 self.record_run();
                 warn!("event=broken id={id} endpoint={endpoint} error=\"{text}\"");
                 self.tried.push(endpoint.clone());
-                self.check_for_crash(endpoint, address);
+                self.shared.pool.close_all(address);
+                run.end(RunEnd::Interrupted);
                 if self.can_run_again() { Ok(()) } else { Err(self.endpoint_failed()) }
             }
             AttemptError::TimedOut => {
                 self.record_run();
                 warn!("event=silent id={id} endpoint={endpoint}");
+                run.end(RunEnd::Interrupted);
                 self.tried.push(endpoint.clone());
                 self.shared.lock().dispatcher.avoid(now, endpoint);
                 if now < self.deadline && self.can_run_again() {
@@ -153,41 +166,13 @@
         }
     }
 
-    /// Checks in the background whether the endpoint still accepts connections. If not,
-    /// the request is counted as a possible cause of a crash.
-    fn check_for_crash(&self, endpoint: &EndpointId, address: SocketAddr) {
-        self.shared.pool.close_all(address);
-        let (shared, fingerprint) = (self.shared.clone(), self.fingerprint);
-        let crash = shared.lock().crash_id(endpoint);
-        shared.lock().crash_checks += 1;
-        tokio::spawn(async move {
-            time::sleep(CRASH_CHECK_DELAY).await;
-            let crashed = Connection::open(address).await.is_err();
-            shared.lock().crash_checks -= 1;
-            if crashed {
-                let now = Instant::now();
-                let mut state = shared.lock();
-                state.crashes.record_crash(now, fingerprint, crash);
-                let crashes = state.crashes.crashes(fingerprint);
-                drop(state);
-                info!(
-                    "event=suspect fingerprint={fingerprint:016x} crashes={crashes} \
-                     crash={crash:016x} at={address}"
-                );
-                counter!(names::SUSPECTED_CRASHES).increment(1);
-                shared.peer_update_due.notify_one();
-            }
-        });
-    }
-
     /// Sends the request to an endpoint and validates the response head.
     async fn send(
         &self,
         endpoint: &EndpointId,
         address: SocketAddr,
-        guard: RequestGuard,
         last_event: Option<&str>,
-    ) -> Result<EndpointResponse, AttemptError> {
+    ) -> Result<(Response<Incoming>, ResponseHead, Connection), AttemptError> {
         let (response, connection) = self.exchange(endpoint, address, last_event).await?;
         let head = platform::parse_response_head(response.status(), response.headers(), &self.id);
         if !head.matches_request {
@@ -204,8 +189,7 @@
                 "the successful response has no signature".to_owned(),
             ));
         }
-        let endpoint = endpoint.clone();
-        Ok(EndpointResponse { response, head, connection, guard, endpoint })
+        Ok((response, head, connection))
     }
 
     /// Sends the request on an idle connection, or on a new one if there is none.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -113,6 +113,9 @@
         let now = Instant::now();
         let state = &mut *self.shared.lock();
         let after_outage = state.is_after_outage(now);
+        for new in &all {
+            state.record_restart(now, new);
+        }
         state.registry.replace(now, all, after_outage);
         state.cache.registrations = values;
         state.dispatcher.retain_registered(&state.registry);
@@ -135,6 +138,9 @@
             };
             let after_outage = state.is_after_outage(now);
             log_change(&state.registry, &change, after_outage);
+            if let Change::Registered(new) = &change {
+                state.record_restart(now, new);
+            }
             state.registry.apply(now, change, after_outage);
         }
         let state = &mut *self.shared.lock();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod attempt;
 mod bootstrap;
+mod crash_check;
 mod follow;
 mod forward;
 mod peers;
@@ -11,6 +12,7 @@
 mod refusals;
 mod relay;
 mod request;
+mod run;
 mod shared;
 mod upstream;
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -252,6 +252,7 @@
         let subset = self.subset(now, own, state.dispatcher.locality());
         state.dispatcher.set_subset(subset);
         state.demand.expire(now);
+        state.gate.expire(now);
         gauge!(names::GATEWAYS).set((1 + live) as f64);
     }
 
@@ -288,7 +289,8 @@
         let (reports, demand, zone) = {
             let state = shared.lock();
             let since = now.checked_sub(REPORT_CRASHES_FOR).unwrap_or(now);
-            let reports = state.crashes.reports_since(since, MIN_CRASHES_ALWAYS_REPORTED);
+            let history = state.gate.history();
+            let reports = history.reports_since(since, MIN_CRASHES_ALWAYS_REPORTED);
             let zone = state.dispatcher.locality().zone.to_string();
             (crash_datagrams(reports), planner::own_demand(now, &state), zone)
         };
@@ -378,15 +380,18 @@
     let mut state = shared.lock();
     for report in reports.reports {
         let fingerprint = report.fingerprint;
-        let before = state.crashes.crashes(fingerprint);
-        if state.crashes.merge(now, &report.into()) {
-            let crashes = state.crashes.crashes(fingerprint);
+        let history = state.gate.history_mut();
+        let before = history.crashes(fingerprint);
+        if history.merge(now, &report.into()) {
+            let crashes = history.crashes(fingerprint);
             info!(
                 "event=suspect_learned fingerprint={fingerprint:016x} crashes={crashes} \
                  before={before} from={from}"
             );
         }
     }
+    drop(state);
+    shared.runs_changed.notify_waiters();
 }
 
 fn crash_datagrams(reports: Vec<quarantine::CrashReport>) -> Vec<CrashReports> {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,15 +5,17 @@
 
 use bytes::Buf;
 use http_body_util::BodyExt;
-use hyper::{Response, StatusCode};
+use hyper::{Response, StatusCode, body::Incoming};
 use log::{info, warn};
 use tokio::time;
 
 use crate::{
-    core::{forwarding::EventSplitter, ids::EndpointId},
+    core::{forwarding::EventSplitter, ids::EndpointId, quarantine::RunEnd},
     gateway::{
         attempt::{DEADLINE_SLACK, EndpointResponse},
         request::ProxiedRequest,
+        run::RunGuard,
+        shared::RequestGuard,
     },
     http::{BodySender, Reply, ReplyAborted, ReplyBody},
     platform,
@@ -50,7 +52,6 @@
         events.start_next_run();
         match relay_attempt(&mut request, received, &tx, &mut events).await {
             StreamEnd::Complete => {
-                request.record_success();
                 request.log_end(StatusCode::OK, "streamed", Some(&endpoint));
                 return;
             }
@@ -98,14 +99,35 @@
     let _ = tx.send(Err(ReplyAborted)).await;
 }
 
-/// Relays the events of one attempt.
+/// Relays the events of one attempt and records how its run ended.
 async fn relay_attempt(
     request: &mut ProxiedRequest,
     received: EndpointResponse,
     tx: &BodySender,
     events: &mut EventSplitter,
 ) -> StreamEnd {
-    let EndpointResponse { response, head, connection, guard, .. } = received;
+    let EndpointResponse { response, head, connection, guard, run, .. } = received;
+    let end = relay_events(request, response, &guard, &run, tx, events).await;
+    run.end(match end {
+        StreamEnd::Complete => RunEnd::Completed,
+        StreamEnd::CallerGone => RunEnd::Abandoned,
+        StreamEnd::Interrupted(_) | StreamEnd::DeadlineExceeded => RunEnd::Interrupted,
+    });
+    drop(guard);
+    if matches!(end, StreamEnd::Complete) && !head.closes_connection {
+        request.shared.pool.release(connection, head.keep_alive);
+    }
+    end
+}
+
+async fn relay_events(
+    request: &mut ProxiedRequest,
+    response: Response<Incoming>,
+    guard: &RequestGuard,
+    run: &RunGuard,
+    tx: &BodySender,
+    events: &mut EventSplitter,
+) -> StreamEnd {
     let mut body = response.into_body();
     let mut has_data = false;
     let mut last_event_at = Instant::now();
@@ -130,6 +152,7 @@
         if !has_data && data.has_remaining() {
             has_data = true;
             guard.record_first_response();
+            run.record_response();
         }
         match events.push(&data) {
             Ok(None) => {}
@@ -143,9 +166,5 @@
             Err(err) => return StreamEnd::Interrupted(format!("{err:?}")),
         }
     }
-    drop(guard);
-    if !head.closes_connection {
-        request.shared.pool.release(connection, head.keep_alive);
-    }
     StreamEnd::Complete
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -17,8 +17,8 @@
     core::{
         forwarding::{Requirements, Route, RouteKind, ServiceName},
         hash,
-        ids::{CrashId, EndpointId, Fingerprint},
-        quarantine::Verdict,
+        ids::{EndpointId, Fingerprint},
+        quarantine::RunEnd,
     },
     errors::{Code, Refusal},
     gateway::{
@@ -49,8 +49,6 @@
     received_at: Instant,
     pub(super) deadline: Instant,
     pub(super) fingerprint: Fingerprint,
-    // Crashes that were known when the request arrived.
-    known_crashes: Vec<CrashId>,
     // Endpoints of earlier attempts.
     pub(super) tried: Vec<EndpointId>,
     // Sends after which the request ran or may have run.
@@ -90,9 +88,7 @@
         let fingerprint = hash::stable(&[client.as_bytes(), path.as_bytes(), &body]);
         let uri = path.parse().map_err(|_| Refusal::new(Code::UnknownPath, "unusable path"))?;
         shared.record_request(&service, &caller.requirements);
-        let known_crashes = shared.lock().crashes.crash_ids(fingerprint);
         Ok(Self {
-            known_crashes,
             shared,
             service,
             id: caller.id,
@@ -116,10 +112,6 @@
 
     /// Makes attempts until there is a response or a refusal for the caller.
     pub(super) async fn run(mut self) -> Reply {
-        let verdict = self.shared.lock().crashes.verdict(self.received_at, self.fingerprint);
-        if verdict != Verdict::Allowed {
-            return self.refuse(&Refusal::new(Code::Quarantined, "the request crashed endpoints"));
-        }
         loop {
             let received = match self.next_response(None).await {
                 Ok(received) => received,
@@ -155,8 +147,9 @@
         &mut self,
         received: EndpointResponse,
     ) -> Result<Reply, Option<Refusal>> {
-        let EndpointResponse { response, head, connection, guard, endpoint } = received;
+        let EndpointResponse { response, head, connection, guard, run, endpoint } = received;
         guard.record_first_response();
+        run.record_response();
         let (parts, incoming) = response.into_parts();
         let remaining = self.deadline.saturating_duration_since(Instant::now()) + DEADLINE_SLACK;
         let read = Limited::new(incoming, MAX_RESPONSE_BYTES).collect();
@@ -166,10 +159,12 @@
             Ok(Err(err)) => {
                 let id = self.id();
                 warn!("event=truncated id={id} endpoint={endpoint} error=\"{err}\"");
+                run.end(RunEnd::Interrupted);
                 self.tried.push(endpoint);
                 return Err(if self.can_run_again() { None } else { Some(self.endpoint_failed()) });
             }
             Err(_) => {
+                run.end(RunEnd::Interrupted);
                 let text = "the response was not complete before the deadline";
                 return Err(Some(Refusal::new(Code::DeadlineExceeded, text)));
             }
@@ -178,7 +173,9 @@
             self.shared.pool.release(connection, head.keep_alive);
         }
         drop(guard);
-        if parts.status.is_server_error() {
+        let failed = parts.status.is_server_error();
+        run.end(if failed { RunEnd::Failed } else { RunEnd::Completed });
+        if failed {
             let id = self.id();
             let status = parts.status.as_u16();
             info!("event=endpoint_error id={id} endpoint={endpoint} status={status}");
@@ -186,8 +183,6 @@
                 self.tried.push(endpoint);
                 return Err(None);
             }
-        } else {
-            self.record_success();
         }
         if implies_not_executed(parts.status) {
             return Err(Some(self.endpoint_failed()));
@@ -320,25 +315,6 @@
         }
         self.longest_gap = self.longest_gap.max(gap);
     }
-
-    /// Clears the crash suspicion of this request after a complete run.
-    pub(super) fn record_success(&self) {
-        let now = Instant::now();
-        let fingerprint = self.fingerprint;
-        let mut state = self.shared.lock();
-        let age = state.crashes.age(now, fingerprint).unwrap_or_default();
-        let cleared = state.crashes.record_completed(now, fingerprint, &self.known_crashes);
-        drop(state);
-        if cleared != 0 {
-            info!(
-                "event=suspect_cleared id={} fingerprint={fingerprint:016x} crashes={cleared} \
-                 age_ms={}",
-                self.id(),
-                age.as_millis(),
-            );
-            self.shared.peer_update_due.notify_one();
-        }
-    }
 }
 
 /// Statuses that make a caller assume that the request was not executed.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,7 +1,7 @@
 //! State that all requests and background tasks of a gateway share.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -16,12 +16,15 @@
             Decision, Dispatcher, EndpointRegistry, Locality, REREGISTRATION_GRACE, RefusalReason,
             Requirements, RetryBudget, Route, RouteTable, ServiceName, Ticket,
         },
-        hash,
         ids::{CrashId, EndpointId},
         placement::DemandMeter,
-        quarantine::CrashHistory,
+        quarantine::RunGate,
+    },
+    gateway::{
+        bootstrap::StoreCache,
+        run::{RunTarget, crash_id},
+        upstream::ConnectionPool,
     },
-    gateway::{bootstrap::StoreCache, upstream::ConnectionPool},
     telemetry::names,
 };
 
@@ -39,15 +42,16 @@
     pub grace: Duration,
 }
 
-/// Crashes of endpoints after which a request must no longer be run.
-const MAX_CRASHES: usize = 2;
+/// Crashes of endpoints after which a request must no longer be run, by the platform's
+/// rules.
+const MAX_CRASHES: usize = 3;
 
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) table: Option<Arc<RouteTable>>,
     pub(super) registry: EndpointRegistry,
     pub(super) dispatcher: Dispatcher,
-    pub(super) crashes: CrashHistory,
+    pub(super) gate: RunGate,
     pub(super) demand: DemandMeter,
     // Served to gateways that start while the store is unavailable.
     pub(super) cache: StoreCache,
@@ -58,8 +62,8 @@
     store_unavailable: bool,
     store_recovered_at: Option<Instant>,
     shutting_down: bool,
-    // Crash checks of endpoints that are in progress.
-    pub(super) crash_checks: u32,
+    // Endpoint starts that are being checked for a crash.
+    pub(super) crash_checks: HashSet<CrashId>,
 }
 
 /// The decision on a waiting request.
@@ -88,6 +92,8 @@
     pub(super) peer_update_due: Notify,
     // Triggers messages to agents when requests wait for an adapter to be loaded.
     pub(super) adapter_wanted: Notify,
+    // Wakes requests that wait for the end of another run or for a crash check.
+    pub(super) runs_changed: Notify,
     grace_period_ended: watch::Sender<bool>,
 }
 
@@ -98,7 +104,7 @@
             table: None,
             registry: EndpointRegistry::default(),
             dispatcher: Dispatcher::new(locality, seed),
-            crashes: CrashHistory::new(MAX_CRASHES),
+            gate: RunGate::new(MAX_CRASHES),
             demand: DemandMeter::new(),
             cache: StoreCache::default(),
             retry_budgets: HashMap::new(),
@@ -106,7 +112,7 @@
             store_unavailable: false,
             store_recovered_at: None,
             shutting_down: false,
-            crash_checks: 0,
+            crash_checks: HashSet::new(),
         };
         Arc::new(Self {
             bounds,
@@ -115,6 +121,7 @@
             request_queued: Notify::new(),
             peer_update_due: Notify::new(),
             adapter_wanted: Notify::new(),
+            runs_changed: Notify::new(),
             grace_period_ended: watch::Sender::new(false),
         })
     }
@@ -160,12 +167,12 @@
 
     /// Whether a check for a crashed endpoint is in progress.
     pub fn is_checking_for_crash(&self) -> bool {
-        0 < self.lock().crash_checks
+        !self.lock().crash_checks.is_empty()
     }
 
     /// Number of requests that are quarantined because they crashed endpoints.
     pub fn quarantined_requests(&self) -> usize {
-        self.lock().crashes.quarantined(Instant::now())
+        self.lock().gate.history().quarantined(Instant::now())
     }
 
     /// Whether the gateway accepts new connections.
@@ -304,10 +311,11 @@
 }
 
 impl State {
-    /// Identifies a crash of the current start of an endpoint.
-    pub(super) fn crash_id(&self, endpoint: &str) -> CrashId {
+    /// The current start of an endpoint.
+    pub(super) fn run_target(&self, endpoint: &EndpointId, address: SocketAddr) -> RunTarget {
         let started_ms = self.registry.get(endpoint).map_or(0, |e| e.registration.started_ms);
-        hash::stable(&[endpoint.as_bytes(), &started_ms.to_le_bytes()])
+        let crash = crash_id(endpoint, started_ms);
+        RunTarget { endpoint: endpoint.clone(), address, started_ms, crash }
     }
 
     /// Whether the store is unavailable or was until recently, so that a live endpoint
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -85,7 +85,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_within_a_buffered_body_is_counted() {
     run(assert_quarantined("/read/1", |request| {
         let head = response_head("200 OK", request.id(), "content-length: 10\r\n");
@@ -99,13 +98,11 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_after_the_head_of_a_stream_is_counted() {
     run(assert_quarantined("/stream/1", |request| vec![stream_head(request.id()), Step::Crash]));
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_within_an_event_is_counted() {
     run(assert_quarantined("/stream/1", |request| {
         vec![stream_head(request.id()), chunk("id: 0\nda"), Step::Crash]
@@ -113,7 +110,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_between_events_is_counted() {
     run(assert_quarantined("/stream/1", |request| {
         vec![stream_head(request.id()), chunk(&events(0..2)), Step::Crash]
@@ -121,7 +117,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_of_a_resumed_stream_is_counted() {
     run(assert_quarantined("/resume/1", |request| {
         let next = request.header("last-event-id").map_or(0, |l| l.parse::<u32>().unwrap() + 1);
@@ -130,13 +125,11 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_without_closing_the_connection_is_counted() {
     run(assert_quarantined("/book/1", |_| vec![Step::Vanish]));
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_of_a_stream_without_closing_the_connection_is_counted() {
     run(assert_quarantined("/stream/1", |request| {
         vec![stream_head(request.id()), chunk(&events(0..2)), Step::Vanish]
@@ -145,7 +138,6 @@
 
 /// The caller leaves while the request runs, and the endpoint crashes right after.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn crash_after_the_caller_has_left_is_counted() {
     run(async {
         let endpoints = crashing_endpoints(|_| vec![Step::CrashAfterDisconnect]).await;
@@ -178,7 +170,6 @@
 
 /// All copies run before the first crash, and each could be retried once.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn retries_of_copies_that_run_at_the_first_crash_are_not_sent() {
     const COPIES: usize = 6;
     run(async {
