Quarantined requests survive a restart of all gateways, and late gateways learn of them

Evidence: with the new reader and the reports to newly heard peers taken out, the two new tests fail (quarantine_survives_a_restart_of_all_gateways, gateway_that_starts_later_learns_of_the_quarantine). Change: requests with two crashes or more are saved under keyed.quarantine by the gateway that saw the crash, and read at start and by a long poll of 20 s; a peer that is heard for the first time, or again after two seconds, gets all reports. The live gateway in first position deletes what all have forgotten. Why it works: a saved report is merged like one from a peer, so a doubled, late or older record changes nothing.

--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -54,9 +54,8 @@
         drop(state);
         if crashed {
             shared.pool.close_all(target.address);
-            shared.peer_update_due.notify_one();
         }
-        shared.runs_changed.notify_waiters();
+        shared.report_changes(&counted);
         if !again {
             return;
         }
@@ -74,8 +73,8 @@
     }
 
     /// Counts crashes that a new registration shows: an endpoint that was not draining was
-    /// started again, or another one has its address.
-    pub(super) fn record_restart(&mut self, now: Instant, new: &Registration) {
+    /// started again, or another one has its address. Returns the requests.
+    pub(super) fn record_restart(&mut self, now: Instant, new: &Registration) -> Vec<Fingerprint> {
         let replaced = self.registry.iter().filter(|e| {
             let old = &e.registration;
             let same_place = old.id == new.id || old.address == new.address;
@@ -83,13 +82,16 @@
         });
         let replaced: Vec<_> =
             replaced.map(|e| (e.id().clone(), e.registration.started_ms)).collect();
+        let mut all_counted = Vec::new();
         for (endpoint, started_ms) in replaced {
             let crash = crash_id(&endpoint, started_ms);
             let counted = self.gate.resolve(now, crash, &[], true);
             if !counted.is_empty() {
                 log_crash(self, &endpoint, crash, &counted);
             }
+            all_counted.extend(counted);
         }
+        all_counted
     }
 }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -111,14 +111,17 @@
         let all: Vec<_> = values.iter().filter_map(|(k, v)| self.decode(k, v)).collect();
         info!("event=registrations endpoints={}", all.len());
         let now = Instant::now();
-        let state = &mut *self.shared.lock();
+        let mut guard = self.shared.lock();
+        let state = &mut *guard;
         let after_outage = state.is_after_outage(now);
-        for new in &all {
-            state.record_restart(now, new);
-        }
+        let counted: Vec<_> = all.iter().flat_map(|new| state.record_restart(now, new)).collect();
         state.registry.replace(now, all, after_outage);
         state.cache.registrations = values;
         state.dispatcher.retain_registered(&state.registry);
+        drop(guard);
+        if !counted.is_empty() {
+            self.shared.report_changes(&counted);
+        }
     }
 
     fn update(&mut self, records: Vec<KeyedRecord>) {
@@ -138,10 +141,15 @@
             };
             let after_outage = state.is_after_outage(now);
             log_change(&state.registry, &change, after_outage);
-            if let Change::Registered(new) = &change {
-                state.record_restart(now, new);
-            }
+            let counted = match &change {
+                Change::Registered(new) => state.record_restart(now, new),
+                Change::Removed(_) => Vec::new(),
+            };
             state.registry.apply(now, change, after_outage);
+            drop(state);
+            if !counted.is_empty() {
+                self.shared.report_changes(&counted);
+            }
         }
         let state = &mut *self.shared.lock();
         for id in state.registry.expire(now) {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod planner;
 mod process;
+mod quarantine_store;
 mod refusals;
 mod relay;
 mod request;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,7 +5,7 @@
 //! and unload models and adapters.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
@@ -51,7 +51,7 @@
 /// Requests with this many crashes are reported to peers as long as they are remembered.
 const MIN_CRASHES_ALWAYS_REPORTED: usize = 2;
 /// Most crash reports in one datagram.
-const MAX_REPORTS_PER_DATAGRAM: usize = 14;
+const MAX_REPORTS_PER_DATAGRAM: usize = 9;
 /// Most datagrams of crash reports to one peer at a time.
 const MAX_REPORT_DATAGRAMS: usize = 8;
 
@@ -61,6 +61,8 @@
     gateways: HashMap<SocketAddr, PeerInfo>,
     agents: HashMap<EndpointId, AgentInfo>,
     last_hello: HashMap<EndpointId, Instant>,
+    // Gateways that may have missed crash reports.
+    needs_all_reports: HashSet<SocketAddr>,
     started: Instant,
     // Number of other gateways in the settings.
     other_seeds: usize,
@@ -119,6 +121,7 @@
             gateways: HashMap::new(),
             agents: HashMap::new(),
             last_hello: HashMap::new(),
+            needs_all_reports: HashSet::new(),
             started: Instant::now(),
             other_seeds: seeds.iter().filter(|seed| **seed != own.ip()).count(),
             last_broadcast: None,
@@ -147,7 +150,9 @@
                 self.add_gateway(now, own, from);
                 if let Some(peer) = self.gateways.get_mut(&from) {
                     if peer.last_heard.is_none_or(|at| at + PEER_TIMEOUT <= now) {
-                        // The peer may have just started and not know any gateway yet.
+                        // The peer may have just started and not know any gateway yet, or
+                        // have missed reports.
+                        self.needs_all_reports.insert(from);
                         shared.peer_update_due.notify_one();
                     }
                     peer.last_heard = Some(now);
@@ -249,10 +254,16 @@
         let recently_started = now < self.started + shared.bounds().retry_window;
         let others = if recently_started { live.max(self.other_seeds) } else { live };
         state.dispatcher.set_processes(1 + others);
-        let subset = self.subset(now, own, state.dispatcher.locality());
-        state.dispatcher.set_subset(subset);
+        let (position, count) = self.position(now, own, state.dispatcher.locality());
+        state.dispatcher.set_subset(EndpointSubset::new(position, count));
+        state.gate.set_position(position, count);
+        // One gateway deletes what all have forgotten.
+        let mut forgotten = state.gate.expire(now);
+        forgotten.retain(|f| position == 0 && state.record_change(*f));
+        if !forgotten.is_empty() {
+            shared.report_unsaved.notify_one();
+        }
         state.demand.expire(now);
-        state.gate.expire(now);
         gauge!(names::GATEWAYS).set((1 + live) as f64);
     }
 
@@ -265,14 +276,14 @@
         self.gateways.iter().filter(move |(_, peer)| is_live(peer))
     }
 
-    /// The endpoints that this gateway prefers, by its position among the live gateways
-    /// that accept requests, ordered by region, zone and address.
-    fn subset(&self, now: Instant, own: SocketAddr, locality: &Locality) -> EndpointSubset {
+    /// The position of this gateway among the live gateways that accept requests, ordered
+    /// by region, zone and address, and their number.
+    fn position(&self, now: Instant, own: SocketAddr, locality: &Locality) -> (usize, usize) {
         let here = (locality.sort_key(&locality.zone), own);
         let others = self.live_gateways(now).filter(|(_, peer)| peer.serving);
         let before =
             others.clone().filter(|(a, peer)| (locality.sort_key(&peer.zone), **a) < here).count();
-        EndpointSubset::new(before, others.count() + 1)
+        (before, others.count() + 1)
     }
 
     /// Whether this gateway plans placement: among the live gateways that accept
@@ -286,13 +297,16 @@
     fn send_to_gateways(&mut self, shared: &SharedState, socket: &Socket, at_once: bool) {
         let now = Instant::now();
         let serving = shared.is_ready();
-        let (reports, demand, zone) = {
+        let ((reports, all_reports), demand, zone) = {
             let state = shared.lock();
             let since = now.checked_sub(REPORT_CRASHES_FOR).unwrap_or(now);
             let history = state.gate.history();
             let reports = history.reports_since(since, MIN_CRASHES_ALWAYS_REPORTED);
+            let all =
+                if self.needs_all_reports.is_empty() { Vec::new() } else { history.reports() };
             let zone = state.dispatcher.locality().zone.to_string();
-            (crash_datagrams(reports), planner::own_demand(now, &state), zone)
+            let reports = (crash_datagrams(reports), crash_datagrams(all));
+            (reports, planner::own_demand(now, &state), zone)
         };
         let broadcast = at_once || self.is_broadcast_due(now);
         if broadcast {
@@ -310,10 +324,16 @@
             } else if broadcast {
                 socket.send(*address, Body::GatewayStatus(without_demand.clone()));
             }
-            for reports in reports.iter().filter(|_| broadcast) {
+            let reports = match self.needs_all_reports.contains(address) {
+                true => &all_reports,
+                false if broadcast => &reports,
+                false => continue,
+            };
+            for reports in reports {
                 socket.send(*address, Body::CrashReports(reports.clone()));
             }
         }
+        self.needs_all_reports.clear();
     }
 
     fn is_broadcast_due(&self, now: Instant) -> bool {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -16,6 +16,7 @@
         bootstrap,
         follow::{EndpointUpdater, RouteUpdater},
         forward, peers,
+        quarantine_store::{QuarantineReader, save_reports},
         shared::{Bounds, SharedState},
     },
     gossip::Socket,
@@ -85,7 +86,9 @@
     let shared = SharedState::new(locality, config.bounds, fastrand::u64(..));
     let store = Store::new(config.store);
     tokio::spawn(follow_topic(store.clone(), RouteUpdater { shared: shared.clone() }));
-    tokio::spawn(follow_topic(store, EndpointUpdater::new(shared.clone())));
+    tokio::spawn(follow_topic(store.clone(), EndpointUpdater::new(shared.clone())));
+    tokio::spawn(follow_topic(store.clone(), QuarantineReader { shared: shared.clone() }));
+    tokio::spawn(save_reports(shared.clone(), store));
     let own = listeners.peer_address;
     let others = config.seeds.iter().map(|ip| SocketAddr::new(*ip, own.port()));
     let others = others.filter(|address| *address != own).collect();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -88,7 +88,7 @@
                 age.as_millis(),
                 self.target.endpoint,
             );
-            self.shared.peer_update_due.notify_one();
+            self.shared.report_changes(&[self.fingerprint]);
         }
         if ended.needs_check {
             crash_check::start(&self.shared, &self.target);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -16,7 +16,7 @@
             Decision, Dispatcher, EndpointRegistry, Locality, REREGISTRATION_GRACE, RefusalReason,
             Requirements, RetryBudget, Route, RouteTable, ServiceName, Ticket,
         },
-        ids::{CrashId, EndpointId},
+        ids::{CrashId, EndpointId, Fingerprint},
         placement::DemandMeter,
         quarantine::RunGate,
     },
@@ -62,6 +62,12 @@
     store_unavailable: bool,
     store_recovered_at: Option<Instant>,
     shutting_down: bool,
+    // Requests whose crashes are in the store.
+    pub(super) saved_reports: HashSet<Fingerprint>,
+    // Requests whose crashes changed here and have yet to be written to the store.
+    pub(super) unsaved_reports: HashSet<Fingerprint>,
+    // The saved crashes were read since the start.
+    pub(super) knows_quarantines: bool,
     // Endpoint starts that are being checked for a crash.
     pub(super) crash_checks: HashSet<CrashId>,
 }
@@ -94,6 +100,8 @@
     pub(super) adapter_wanted: Notify,
     // Wakes requests that wait for the end of another run or for a crash check.
     pub(super) runs_changed: Notify,
+    // Wakes the task that saves crash reports.
+    pub(super) report_unsaved: Notify,
     grace_period_ended: watch::Sender<bool>,
 }
 
@@ -112,6 +120,9 @@
             store_unavailable: false,
             store_recovered_at: None,
             shutting_down: false,
+            saved_reports: HashSet::new(),
+            unsaved_reports: HashSet::new(),
+            knows_quarantines: false,
             crash_checks: HashSet::new(),
         };
         Arc::new(Self {
@@ -122,6 +133,7 @@
             peer_update_due: Notify::new(),
             adapter_wanted: Notify::new(),
             runs_changed: Notify::new(),
+            report_unsaved: Notify::new(),
             grace_period_ended: watch::Sender::new(false),
         })
     }
@@ -175,6 +187,31 @@
         self.lock().gate.history().quarantined(Instant::now())
     }
 
+    /// Number of requests whose crashes have yet to be written to the store.
+    pub fn unsaved_reports(&self) -> usize {
+        self.lock().unsaved_reports.len()
+    }
+
+    /// Whether the crashes of requests were read from the store since the start.
+    pub fn knows_quarantines(&self) -> bool {
+        self.lock().knows_quarantines
+    }
+
+    /// Notes that the crashes of requests changed: other gateways, the store and waiting
+    /// requests learn of it.
+    pub(super) fn report_changes(&self, fingerprints: &[Fingerprint]) {
+        let mut state = self.lock();
+        let unsaved = fingerprints.iter().filter(|f| state.record_change(**f)).count();
+        drop(state);
+        if 0 < unsaved {
+            self.report_unsaved.notify_one();
+        }
+        if !fingerprints.is_empty() {
+            self.peer_update_due.notify_one();
+        }
+        self.runs_changed.notify_waiters();
+    }
+
     /// Whether the gateway accepts new connections.
     pub fn is_ready(&self) -> bool {
         let state = self.lock();
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -19,8 +19,8 @@
 pub use headers::{NotRunReason, READY_PATH};
 pub use registration::decode_registration;
 pub use store::{
-    CONFIGURATION, KeyedRecord, NewestRecords, REGISTRATIONS, ReadPage, STATUS, Store, StoreError,
-    Topic,
+    CONFIGURATION, KeyedRecord, NewestRecords, QUARANTINE, REGISTRATIONS, ReadPage, STATUS, Store,
+    StoreError, Topic,
 };
 
 use std::fmt;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -15,6 +15,8 @@
 pub const CONFIGURATION: Topic = "keyed.op";
 /// Topic of the endpoints' registrations.
 pub const REGISTRATIONS: Topic = "keyed.servers";
+/// Topic of requests that crashed endpoints.
+pub const QUARANTINE: Topic = "keyed.quarantine";
 /// Topic of the status records of the system's own processes.
 pub const STATUS: Topic = "keyed.status";
 
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -4,12 +4,13 @@
 //! copies of it that were already sent when the last of these crashes became known.
 
 use std::{
-    net::{IpAddr, Ipv4Addr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::Arc,
     time::Duration,
 };
 
 use futures_util::future::join_all;
+use goldcrestpitch::fakes::{FakeLog, LogFaults};
 use tokio::{io::AsyncWriteExt, sync::Notify};
 
 use crate::{
@@ -25,6 +26,7 @@
 const MAX_CRASHES: usize = 3;
 const POISON: &str = "poison";
 const ENDPOINTS: usize = 12;
+const OTHER_VM: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2));
 const OTHER_CALLER: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 9));
 
 /// Starts endpoints that run `crash` for the crashing request and answer all others.
@@ -224,6 +226,49 @@
     });
 }
 
+/// The memory of all gateways is lost at once; only the store remembers.
+#[test]
+fn quarantine_survives_a_restart_of_all_gateways() {
+    run(async {
+        let endpoints = crashing_endpoints(|_| vec![Step::Crash]).await;
+        let log = FakeLog::new(LogFaults::default(), 7);
+        let any = "127.0.0.1:0".parse().unwrap();
+        let gateway = TestGateway::start_with(log.clone(), any, Vec::new()).await;
+        gateway.set_up(&endpoints.iter().collect::<Vec<_>>()).await;
+        send_repeatedly(&gateway, "/read/1").await;
+        assert!(crashed(&endpoints) <= MAX_CRASHES);
+        gateway.wait_until(|g| g.process.shared().unsaved_reports() == 0).await;
+        drop(gateway);
+        let before = crashed(&endpoints);
+        let restarted = TestGateway::start_with(log, any, Vec::new()).await;
+        restarted.wait_for_version(1).await;
+        restarted.wait_until(|g| g.process.shared().usable_endpoints() == ENDPOINTS).await;
+        restarted.wait_until(|g| g.process.shared().knows_quarantines()).await;
+        assert_eq!(restarted.send("POST", "/read/1", "", POISON).await.status, 503);
+        assert_eq!(crashed(&endpoints), before);
+    });
+}
+
+/// A gateway that starts after the crashes learns of them from its peer while the store
+/// is unavailable.
+#[test]
+fn gateway_that_starts_later_learns_of_the_quarantine() {
+    run(async {
+        let endpoints = crashing_endpoints(|_| vec![Step::Crash]).await;
+        let existing = TestGateway::start(&endpoints.iter().collect::<Vec<_>>()).await;
+        send_repeatedly(&existing, "/read/1").await;
+        let before = crashed(&endpoints);
+        existing.log.set_faults(|f| f.outage = true);
+        let address = SocketAddr::new(OTHER_VM, existing.peer_address.port());
+        let seeds = vec![existing.peer_address.ip()];
+        let joining = TestGateway::start_with(existing.log.clone(), address, seeds).await;
+        joining.wait_for_version(1).await;
+        joining.wait_until(|g| 0 < g.process.shared().quarantined_requests()).await;
+        assert_eq!(joining.send("POST", "/read/1", "", POISON).await.status, 503);
+        assert_eq!(crashed(&endpoints), before);
+    });
+}
+
 /// Requests that run beside the crashing one are resumed and not refused, although they
 /// meet it again.
 #[test]
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -41,10 +41,10 @@
 fn crash_reports_fit_a_datagram() {
     let report = |i| CrashReport {
         fingerprint: u64::MAX - i,
-        crashes: vec![u64::MAX; 4],
-        cleared: vec![u64::MAX; 4],
+        crashes: vec![u64::MAX; 8],
+        cleared: vec![u64::MAX; 8],
     };
-    let reports = CrashReports { reports: (0..14).map(report).collect() };
+    let reports = CrashReports { reports: (0..9).map(report).collect() };
     let bytes = encoded_size(Body::CrashReports(reports));
     assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}");
 }
