Agents count crashes of requests whose caller has left

Cause: an attempt whose entry had disconnected, or whose deadline had passed, was removed from the running ones before the crash was detected. An attempt that was given up before it was sent counted as complete, which clears the suspicion. Evidence: crash_after_the_caller_has_left_is_counted (end_to_end) had 8 crashes in 8 rounds; 2 are allowed. Change: the crash tracker remembers attempts that were given up for 3 s and counts a crash against them too; an attempt that was not sent is no completion (read in the code; no test of its own).

--- a/src/agent/crashes.rs
+++ b/src/agent/crashes.rs
@@ -1,6 +1,6 @@
 //! Detects crashes of the endpoint and marks the requests that ran as suspects.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use log::warn;
 use metrics::counter;
@@ -37,7 +37,8 @@
             let mut state = self.lock();
             state.engine_up = false;
             let ran = state.scheduler.take_running();
-            let fingerprints: Vec<u64> = ran.iter().map(|(_, f)| *f).collect();
+            let mut fingerprints: Vec<u64> = ran.iter().map(|(_, f)| *f).collect();
+            fingerprints.extend(state.crash_tracker.take_abandoned(Instant::now()));
             state.crash_tracker.record_crash(&fingerprints);
             state.crashed_attempts.extend(ran.into_iter().map(|(a, _)| a));
             for attempt in state.scheduler.take_queued() {
--- a/src/agent/run.rs
+++ b/src/agent/run.rs
@@ -246,7 +246,7 @@
         } else if connected {
             self.stream_tokens(req, started, frames).await
         } else {
-            Ok(())
+            Err(BackendError::NotSent("the entry disconnected".to_owned()))
         };
         self.finish(req, started, frames, result).await;
     }
@@ -356,7 +356,12 @@
         let deadline_passed =
             matches!(&err, BackendError::Interrupted(text) if text == DEADLINE_PASSED);
         let disconnected = frames.tx.is_closed();
-        let crashed = !deadline_passed && !disconnected && self.detect_crash(attempt).await;
+        let given_up = deadline_passed || disconnected;
+        if given_up {
+            // The endpoint may still crash because of it.
+            self.lock().crash_tracker.record_abandoned(Instant::now(), req.fingerprint);
+        }
+        let crashed = !given_up && self.detect_crash(attempt).await;
         self.lock().scheduler.finish(Instant::now(), attempt);
         info!("event=attempt_failed attempt={attempt} crashed={crashed} error=\"{err}\"");
         match err {
--- a/src/core/scheduling/crash_tracker.rs
+++ b/src/core/scheduling/crash_tracker.rs
@@ -1,6 +1,12 @@
 //! Crash counts of the requests that ran when an endpoint crashed, kept by each agent.
 
-use std::collections::HashMap;
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+/// A request whose run was given up may still crash the endpoint within this time.
+const ABANDONED_FOR: Duration = Duration::from_secs(3);
 
 /// How a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,12 +36,13 @@
 pub struct CrashTracker {
     limit: u32,
     crashes: HashMap<u64, u32>,
+    abandoned: Vec<(Instant, u64)>,
 }
 
 impl CrashTracker {
     /// Creates a tracker that quarantines requests at `limit` crashes.
     pub fn new(limit: u32) -> Self {
-        Self { limit, crashes: HashMap::new() }
+        Self { limit, crashes: HashMap::new(), abandoned: Vec::new() }
     }
 
     /// Changes the number of crashes that leads to quarantine.
@@ -67,6 +74,20 @@
         }
     }
 
+    /// Remembers a request whose run was given up, since its caller left or its deadline
+    /// passed.
+    pub fn record_abandoned(&mut self, now: Instant, fingerprint: u64) {
+        self.abandoned.retain(|(at, _)| now < *at + ABANDONED_FOR);
+        self.abandoned.push((now, fingerprint));
+    }
+
+    /// Takes the requests that were given up shortly before a crash of the endpoint.
+    pub fn take_abandoned(&mut self, now: Instant) -> Vec<u64> {
+        let abandoned = std::mem::take(&mut self.abandoned);
+        let recent = abandoned.into_iter().filter(|(at, _)| now < *at + ABANDONED_FOR);
+        recent.map(|(_, fingerprint)| fingerprint).collect()
+    }
+
     /// Merges a crash count from another process by taking the maximum.
     pub fn merge_count(&mut self, fingerprint: u64, crashes: u32) {
         if crashes != 0 {
--- a/tests/end_to_end/crashes.rs
+++ b/tests/end_to_end/crashes.rs
@@ -1,7 +1,10 @@
 //! Requests that crash engines, and the other requests on these engines.
 
+use std::time::Duration;
+
 use futures_util::future::join_all;
 use goldcrestpitch::errors::Code;
+use tokio::time;
 
 use crate::{client_for, cluster_spec, completion_request, run, start_cluster};
 
@@ -50,6 +53,29 @@
     });
 }
 
+/// The caller leaves before the engine crashes, each time.
+#[test]
+fn crash_after_the_caller_has_left_is_counted() {
+    run(async {
+        let mut spec = cluster_spec();
+        for engine in &mut spec.engines {
+            engine.profile.first_token = Duration::from_millis(60);
+        }
+        let cluster = start_cluster(&spec).await;
+        for round in 0..8 {
+            let client = client_for(&cluster, ["entry-east", "entry-west"][round % 2]);
+            let request = completion_request("roster", CRASHING_PROMPT, 4, true);
+            // Dropping the request closes its connection.
+            let _ = time::timeout(Duration::from_millis(30), client.complete(&request)).await;
+            time::sleep(Duration::from_millis(100)).await;
+            assert!(cluster.wait_until_loaded(Duration::from_secs(20)).await);
+        }
+        let crashes: u64 = cluster.engines.values().map(|e| e.crashes()).sum();
+        assert!(crashes <= 2, "{crashes} crashes");
+        cluster.shutdown().await;
+    });
+}
+
 /// A crash that no request causes loses no request and quarantines none.
 #[test]
 fn engine_crash_loses_no_request() {
@@ -62,7 +88,7 @@
                 tokio::spawn(async move { client.complete(&request).await })
             })
             .collect();
-        tokio::time::sleep(std::time::Duration::from_millis(60)).await;
+        time::sleep(Duration::from_millis(60)).await;
         cluster.engines["engine-0"].crash();
         for task in tasks {
             let result = task.await.unwrap();
