Each crash report is repeated by one gateway

Change: a gateway repeats what it saw itself for 5 s; of requests with two crashes or more, and to gateways that may have missed reports, also those whose fingerprint falls to its position among the live ones. The exchange of reports has a module of its own (gateway::crash_reports).

--- a/src/core/quarantine/crash_history.rs
+++ b/src/core/quarantine/crash_history.rs
@@ -60,6 +60,8 @@
     cleared: Vec<CrashId>,
     last_crash: Instant,
     last_news: Instant,
+    // When this process saw a crash or a complete run itself.
+    seen_here: Option<Instant>,
 }
 
 /// The crashes that requests may have caused, as far as this process knows.
@@ -121,7 +123,7 @@
     /// Records a crash of an endpoint while the request ran there. Returns whether it was
     /// not known.
     pub fn record_crash(&mut self, now: Instant, fingerprint: Fingerprint, crash: CrashId) -> bool {
-        self.merge(now, &CrashReport { fingerprint, crashes: vec![crash], cleared: Vec::new() })
+        self.merge_own(now, &CrashReport { fingerprint, crashes: vec![crash], cleared: Vec::new() })
     }
 
     /// Clears crashes after a complete run that started when they were known. Returns
@@ -137,7 +139,7 @@
             return 0;
         }
         let cleared = known_at_start.to_vec();
-        self.merge(now, &CrashReport { fingerprint, crashes: Vec::new(), cleared });
+        self.merge_own(now, &CrashReport { fingerprint, crashes: Vec::new(), cleared });
         before - self.crashes(fingerprint)
     }
 
@@ -152,6 +154,7 @@
             cleared: Vec::new(),
             last_crash: now,
             last_news: now,
+            seen_here: None,
         });
         let changed = suspect.merge(now, report);
         if changed {
@@ -195,15 +198,17 @@
         Some(CrashReport { fingerprint, crashes, cleared })
     }
 
-    /// Requests with news since `moment` or with at least `min_crashes` crashes, those with
-    /// the most crashes first, then the latest.
-    pub fn reports_since(&self, moment: Instant, min_crashes: usize) -> Vec<CrashReport> {
-        self.reports_where(|s| moment <= s.last_news || min_crashes <= s.crashes.len())
-    }
-
-    /// All requests, in the order of [`Self::reports_since`].
-    pub fn reports(&self) -> Vec<CrashReport> {
-        self.reports_where(|_| true)
+    /// Reports on the requests that `is_due` selects by fingerprint, number of crashes and
+    /// the time of the last crash or complete run that this process saw itself. Those with
+    /// the most crashes come first, then the latest.
+    pub fn reports(
+        &self,
+        is_due: impl Fn(Fingerprint, usize, Option<Instant>) -> bool,
+    ) -> Vec<CrashReport> {
+        let due = self.suspects.iter().filter(|(f, s)| is_due(**f, s.crashes.len(), s.seen_here));
+        let mut due: Vec<(Fingerprint, &Suspect)> = due.map(|(f, s)| (*f, s)).collect();
+        due.sort_by_key(|(f, s)| (Reverse(s.crashes.len()), Reverse(s.last_news), *f));
+        due.into_iter().filter_map(|(f, _)| self.report(f)).collect()
     }
 
     /// Number of requests that are quarantined.
@@ -232,11 +237,12 @@
         expired
     }
 
-    fn reports_where(&self, is_selected: impl Fn(&Suspect) -> bool) -> Vec<CrashReport> {
-        let selected = self.suspects.iter().filter(|(_, s)| is_selected(s));
-        let mut selected: Vec<(Fingerprint, &Suspect)> = selected.map(|(f, s)| (*f, s)).collect();
-        selected.sort_by_key(|(f, s)| (Reverse(s.crashes.len()), Reverse(s.last_news), *f));
-        selected.into_iter().filter_map(|(f, _)| self.report(f)).collect()
+    fn merge_own(&mut self, now: Instant, report: &CrashReport) -> bool {
+        let changed = self.merge(now, report);
+        if let Some(suspect) = self.suspects.get_mut(&report.fingerprint).filter(|_| changed) {
+            suspect.seen_here = Some(now);
+        }
+        changed
     }
 
     fn unexplained_by_others(&self, now: Instant, suspect: &Suspect) -> usize {
--- a/src/core/quarantine/run_gate.rs
+++ b/src/core/quarantine/run_gate.rs
@@ -8,7 +8,7 @@
 
 use crate::core::{
     ids::{CrashId, Fingerprint},
-    quarantine::{CrashHistory, Verdict},
+    quarantine::{CrashHistory, CrashReport, Verdict},
 };
 
 /// Identifies a run within a process.
@@ -122,12 +122,33 @@
         &mut self.history
     }
 
-    /// Sets the position of this process among `count` live ones. A request at the limit
-    /// that may still run does so in one process only.
+    /// Sets the position of this process among `count` live ones. Each request has one of
+    /// them that reports it for all, and in which alone it runs once it is at the limit.
     pub fn set_position(&mut self, position: usize, count: usize) {
         self.position = (position, count.max(1));
     }
 
+    /// Reports to repeat to the other processes: of crashes seen here within `repeat_for`,
+    /// and of requests with at least `min_crashes` that this process reports for all.
+    pub fn recent_reports(
+        &self,
+        now: Instant,
+        repeat_for: Duration,
+        min_crashes: usize,
+    ) -> Vec<CrashReport> {
+        self.history.reports(|fingerprint, crashes, seen_here| {
+            seen_here.is_some_and(|at| now < at + repeat_for)
+                || (min_crashes <= crashes && self.owns(fingerprint))
+        })
+    }
+
+    /// Reports for a process that may have missed any: of crashes seen here, and of the
+    /// requests that this process reports for all.
+    pub fn all_reports(&self) -> Vec<CrashReport> {
+        self.history
+            .reports(|fingerprint, _, seen_here| seen_here.is_some() || self.owns(fingerprint))
+    }
+
     /// Number of runs that have not ended or are not resolved.
     pub fn len(&self) -> usize {
         self.runs.len()
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -55,7 +55,7 @@
         if crashed {
             shared.pool.close_all(target.address);
         }
-        shared.report_changes(&counted);
+        shared.publish_crashes(&counted);
         if !again {
             return;
         }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -120,7 +120,7 @@
         state.dispatcher.retain_registered(&state.registry);
         drop(guard);
         if !counted.is_empty() {
-            self.shared.report_changes(&counted);
+            self.shared.publish_crashes(&counted);
         }
     }
 
@@ -148,7 +148,7 @@
             state.registry.apply(now, change, after_outage);
             drop(state);
             if !counted.is_empty() {
-                self.shared.report_changes(&counted);
+                self.shared.publish_crashes(&counted);
             }
         }
         let state = &mut *self.shared.lock();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod bootstrap;
 mod crash_check;
+mod crash_reports;
 mod follow;
 mod forward;
 mod peers;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,7 +5,7 @@
 //! and unload models and adapters.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
@@ -19,15 +19,15 @@
     core::{
         forwarding::{Endpoint, EndpointSubset, LoadReport, Locality, ModelRef, WantedAdapter},
         ids::EndpointId,
-        quarantine,
     },
     gateway::{
+        crash_reports::{self, CrashReporter},
         planner::{self, AgentInfo, Planner},
         shared::{self, SharedState},
     },
     gossip::{
-        Body, ChangeKind, CrashReport, CrashReports, Demand, EngineLoad, EngineStatus,
-        GatewayStatus, Hello, ResidencyChange, Socket, rotating_subset,
+        Body, ChangeKind, Demand, EngineLoad, EngineStatus, GatewayStatus, Hello, ResidencyChange,
+        Socket, rotating_subset,
     },
     telemetry::names,
 };
@@ -45,24 +45,13 @@
 const BROADCAST_INTERVAL: Duration = Duration::from_millis(800);
 /// Number of rounds after the start that all go to all peers.
 const INITIAL_BROADCASTS: usize = 8;
-/// How long news of a request that may have crashed endpoints is repeated to peers:
-/// several broadcasts, since datagrams may be lost.
-const REPORT_CRASHES_FOR: Duration = Duration::from_secs(5);
-/// Requests with this many crashes are reported to peers as long as they are remembered.
-const MIN_CRASHES_ALWAYS_REPORTED: usize = 2;
-/// Most crash reports in one datagram.
-const MAX_REPORTS_PER_DATAGRAM: usize = 9;
-/// Most datagrams of crash reports to one peer at a time.
-const MAX_REPORT_DATAGRAMS: usize = 8;
-
 /// The peers and agents that this gateway knows.
 #[derive(Debug)]
 struct PeerTracker {
     gateways: HashMap<SocketAddr, PeerInfo>,
     agents: HashMap<EndpointId, AgentInfo>,
     last_hello: HashMap<EndpointId, Instant>,
-    // Gateways that may have missed crash reports.
-    needs_all_reports: HashSet<SocketAddr>,
+    crash_reporter: CrashReporter,
     started: Instant,
     // Number of other gateways in the settings.
     other_seeds: usize,
@@ -121,7 +110,7 @@
             gateways: HashMap::new(),
             agents: HashMap::new(),
             last_hello: HashMap::new(),
-            needs_all_reports: HashSet::new(),
+            crash_reporter: CrashReporter::default(),
             started: Instant::now(),
             other_seeds: seeds.iter().filter(|seed| **seed != own.ip()).count(),
             last_broadcast: None,
@@ -152,7 +141,7 @@
                     if peer.last_heard.is_none_or(|at| at + PEER_TIMEOUT <= now) {
                         // The peer may have just started and not know any gateway yet, or
                         // have missed reports.
-                        self.needs_all_reports.insert(from);
+                        self.crash_reporter.record_missed(from);
                         shared.peer_update_due.notify_one();
                     }
                     peer.last_heard = Some(now);
@@ -167,7 +156,7 @@
                 self.receive_engine_status(shared, now, &status);
             }
             Body::EngineLoad(load) => self.receive_engine_load(shared, now, &load),
-            Body::CrashReports(reports) => receive_crash_reports(shared, from, reports),
+            Body::CrashReports(reports) => crash_reports::receive(shared, from, reports),
             Body::Hello(_) => {}
         }
     }
@@ -297,15 +286,10 @@
     fn send_to_gateways(&mut self, shared: &SharedState, socket: &Socket, at_once: bool) {
         let now = Instant::now();
         let serving = shared.is_ready();
-        let ((reports, all_reports), demand, zone) = {
+        let (reports, demand, zone) = {
             let state = shared.lock();
-            let since = now.checked_sub(REPORT_CRASHES_FOR).unwrap_or(now);
-            let history = state.gate.history();
-            let reports = history.reports_since(since, MIN_CRASHES_ALWAYS_REPORTED);
-            let all =
-                if self.needs_all_reports.is_empty() { Vec::new() } else { history.reports() };
+            let reports = self.crash_reporter.take_due(now, &state.gate);
             let zone = state.dispatcher.locality().zone.to_string();
-            let reports = (crash_datagrams(reports), crash_datagrams(all));
             (reports, planner::own_demand(now, &state), zone)
         };
         let broadcast = at_once || self.is_broadcast_due(now);
@@ -324,16 +308,10 @@
             } else if broadcast {
                 socket.send(*address, Body::GatewayStatus(without_demand.clone()));
             }
-            let reports = match self.needs_all_reports.contains(address) {
-                true => &all_reports,
-                false if broadcast => &reports,
-                false => continue,
-            };
-            for reports in reports {
+            for reports in reports.for_peer(address, broadcast) {
                 socket.send(*address, Body::CrashReports(reports.clone()));
             }
         }
-        self.needs_all_reports.clear();
     }
 
     fn is_broadcast_due(&self, now: Instant) -> bool {
@@ -395,31 +373,6 @@
     }
 }
 
-fn receive_crash_reports(shared: &SharedState, from: SocketAddr, reports: CrashReports) {
-    let now = Instant::now();
-    let mut state = shared.lock();
-    for report in reports.reports {
-        let fingerprint = report.fingerprint;
-        let history = state.gate.history_mut();
-        let before = history.crashes(fingerprint);
-        if history.merge(now, &report.into()) {
-            let crashes = history.crashes(fingerprint);
-            info!(
-                "event=suspect_learned fingerprint={fingerprint:016x} crashes={crashes} \
-                 before={before} from={from}"
-            );
-        }
-    }
-    drop(state);
-    shared.runs_changed.notify_waiters();
-}
-
-fn crash_datagrams(reports: Vec<quarantine::CrashReport>) -> Vec<CrashReports> {
-    let reports: Vec<CrashReport> = reports.into_iter().map(CrashReport::from).collect();
-    let chunks = reports.chunks(MAX_REPORTS_PER_DATAGRAM).take(MAX_REPORT_DATAGRAMS);
-    chunks.map(|c| CrashReports { reports: c.to_vec() }).collect()
-}
-
 /// The registered engines with the addresses of their agents.
 fn agents(state: &shared::State, own: SocketAddr) -> Vec<(EndpointId, SocketAddr)> {
     let engines = state.registry.iter().filter(|e| {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -88,7 +88,7 @@
                 age.as_millis(),
                 self.target.endpoint,
             );
-            self.shared.report_changes(&[self.fingerprint]);
+            self.shared.publish_crashes(&[self.fingerprint]);
         }
         if ended.needs_check {
             crash_check::start(&self.shared, &self.target);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -197,21 +197,6 @@
         self.lock().knows_quarantines
     }
 
-    /// Notes that the crashes of requests changed: other gateways, the store and waiting
-    /// requests learn of it.
-    pub(super) fn report_changes(&self, fingerprints: &[Fingerprint]) {
-        let mut state = self.lock();
-        let unsaved = fingerprints.iter().filter(|f| state.record_change(**f)).count();
-        drop(state);
-        if 0 < unsaved {
-            self.report_unsaved.notify_one();
-        }
-        if !fingerprints.is_empty() {
-            self.peer_update_due.notify_one();
-        }
-        self.runs_changed.notify_waiters();
-    }
-
     /// Whether the gateway accepts new connections.
     pub fn is_ready(&self) -> bool {
         let state = self.lock();
--- a/tests/crashing_fleet.rs
+++ b/tests/crashing_fleet.rs
@@ -5,7 +5,7 @@
 //! other reasons. Each schedule follows from its seed.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::HashMap,
     time::{Duration, Instant},
 };
 
@@ -28,6 +28,7 @@
 /// Sends that the platform's rules allow after the last allowed crash is known.
 const LATE_SENDS: usize = 3;
 const BROADCAST_MS: u64 = 800;
+const REPEAT_FOR: Duration = Duration::from_secs(5);
 const CHECK_DELAY_MS: u64 = 100;
 
 /// What may happen in a schedule.
@@ -79,7 +80,8 @@
     cut_until: u64,
     disturbed_until: u64,
     next_broadcast: u64,
-    heard: HashSet<usize>,
+    // End of the last silence of more than two seconds.
+    silent_until: u64,
 }
 
 impl Gateway {
@@ -95,7 +97,7 @@
             cut_until: 0,
             disturbed_until: 0,
             next_broadcast: 0,
-            heard: HashSet::new(),
+            silent_until: 0,
         }
     }
 
@@ -202,6 +204,7 @@
             *state = Gateway::new();
             state.stopped_until = now + length;
             state.disturbed_until = now + length + STABLE_WINDOW_MS;
+            state.silent_until = now + length;
             for report in self.stored.values() {
                 state.inbox.push((now + length + 10, report.clone()));
             }
@@ -209,11 +212,13 @@
         if self.trouble.freezes && self.rng.f64() < 0.15 * step_s {
             let state = &mut self.gateways[gateway];
             state.frozen_until = now + length;
+            state.silent_until = now + length;
             state.disturbed_until = state.disturbed_until.max(now + length + STABLE_WINDOW_MS);
         }
         if self.trouble.cuts && self.rng.f64() < 0.15 * step_s {
             let state = &mut self.gateways[gateway];
             state.cut_until = now + length;
+            state.silent_until = now + length;
             state.disturbed_until = state.disturbed_until.max(now + length + STABLE_WINDOW_MS);
         }
     }
@@ -395,28 +400,28 @@
     /// Sends reports to all others and saves those of requests close to the limit.
     fn broadcast(&mut self, index: usize, news: bool) {
         let (now, at) = (self.now, self.instant());
-        let since = at.checked_sub(Duration::from_secs(5)).unwrap_or(at);
-        self.gateways[index].next_broadcast = now + BROADCAST_MS;
-        let reports = self.gateways[index].gate.history().reports_since(since, LIMIT - 1);
-        for report in &reports {
-            if news && LIMIT - 1 <= report.crashes.len() {
-                self.stored.insert(report.fingerprint, report.clone());
-            }
+        let gateway = &mut self.gateways[index];
+        gateway.next_broadcast = now + BROADCAST_MS;
+        let recent = gateway.gate.recent_reports(at, REPEAT_FOR, LIMIT - 1);
+        let all = gateway.gate.all_reports();
+        for report in recent.iter().filter(|r| news && LIMIT - 1 <= r.crashes.len()) {
+            self.stored.insert(report.fingerprint, report.clone());
         }
-        if now < self.gateways[index].cut_until {
+        if now < gateway.cut_until {
             return;
         }
         for other in (0..self.gateways.len()).filter(|o| *o != index) {
+            let silent_until = self.gateways[index].silent_until;
             let peer = &mut self.gateways[other];
             if now < peer.stopped_until || now < peer.cut_until {
                 continue;
             }
-            peer.heard.insert(index);
-            for report in &reports {
-                if self.rng.f64() < self.trouble.loss {
-                    continue;
+            // Each side notices a silence of two seconds and then sends all reports.
+            let was_silent = now < peer.silent_until.max(silent_until) + 2 * BROADCAST_MS;
+            for report in if was_silent { &all } else { &recent } {
+                if self.trouble.loss <= self.rng.f64() {
+                    peer.inbox.push((now + self.rng.u64(5..50), report.clone()));
                 }
-                peer.inbox.push((now + self.rng.u64(5..50), report.clone()));
             }
         }
     }
