--- a/tests/gateway/explained.rs
+++ b/tests/gateway/explained.rs
@@ -89,6 +89,19 @@
         .await;
 }
 
+async fn crash_endpoints() {
+    let mut endpoints = Vec::new();
+    for _ in 0..4 {
+        endpoints.push(ScriptedEndpoint::start(|_| vec![Step::Crash]).await);
+    }
+    let gateway = TestGateway::start(&endpoints.iter().collect::<Vec<_>>()).await;
+    for i in 0..10 {
+        let id = format!("x-request-id: crashing-{i}\r\n");
+        gateway.send("POST", "/book/1", &id, "").await;
+        gateway.wait_until(|g| !g.process.shared().is_checking_for_crash()).await;
+    }
+}
+
 #[test]
 fn operations_page_matches_logged_fields() {
     install_capture_logger();
@@ -96,9 +109,11 @@
         refuse_without_endpoint().await;
         fail_non_idempotent_request().await;
         truncate_stream().await;
+        crash_endpoints().await;
     });
     assert_eq!(events_for_request("refused-1"), ["refused", "request_end"]);
     assert_eq!(events_for_request("failed-1"), ["sent", "broken", "refused", "request_end"]);
+    assert_eq!(events_for_request("crashing-9"), ["refused", "request_end"]);
     assert_eq!(events_for_request("broken-1"), ["sent", "stream_broken", "request_end"]);
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/OPERATIONS.md");
     let page = std::fs::read_to_string(page).unwrap();
@@ -106,7 +121,7 @@
     let logged: BTreeMap<String, BTreeSet<String>> =
         LINES.lock().unwrap().iter().filter_map(|l| event_and_fields(l)).collect();
     let documented_lines =
-        page.lines().filter(|l| l.trim_start().starts_with("event=") && l.contains(" id="));
+        page.lines().filter(|l| l.trim_start().starts_with("event=") && !l.contains("..."));
     for (event, keys) in documented_lines.filter_map(event_and_fields) {
         assert_eq!(
             logged.get(&event),
@@ -115,10 +130,11 @@
         );
         documented += 1;
     }
-    assert!(9 <= documented, "the page must show the log lines of three failures");
+    assert!(12 <= documented, "the page must show the log lines of four failures");
     for name in [
         goldcrestpitch::telemetry::names::REFUSALS,
         goldcrestpitch::telemetry::names::RETRIES,
+        goldcrestpitch::telemetry::names::SUSPECTED_CRASHES,
         goldcrestpitch::telemetry::names::WAITING,
         goldcrestpitch::telemetry::names::STORE_FAILURES,
         goldcrestpitch::telemetry::names::LOG_LINES_LEFT_OUT,
