--- a/src/core/config/state.rs
+++ b/src/core/config/state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::Error};
 
 use crate::core::{
     config::{Item, ItemKind, Key, Selector},
@@ -68,10 +68,26 @@
     /// Offset of the last accepted change of each path.
     pub paths: BTreeMap<String, Offset>,
     /// Requests that were running when an endpoint crashed, by fingerprint.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "deserialize_suspects")]
     pub suspects: BTreeMap<u64, Suspect>,
 }
 
+/// JSON keys are text, and a map within a tagged record is decoded without knowing that
+/// its keys are numbers.
+fn deserialize_suspects<'de, D>(deserializer: D) -> Result<BTreeMap<u64, Suspect>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let by_text = BTreeMap::<String, Suspect>::deserialize(deserializer)?;
+    let parse = |(key, suspect): (String, Suspect)| {
+        let fingerprint = key.parse().map_err(|_| {
+            D::Error::custom(format!("the key {key:?} of a suspect is not a fingerprint"))
+        })?;
+        Ok((fingerprint, suspect))
+    };
+    by_text.into_iter().map(parse).collect()
+}
+
 /// A request that was running when one or more endpoints crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Suspect {
--- a/tests/config_fold.rs
+++ b/tests/config_fold.rs
@@ -2,7 +2,8 @@
 
 use goldcrestpitch::{
     core::config::{
-        Action, ApplyResult, Change, Fold, Item, ItemKind, Key, Record, Scope, Selector, Snapshot,
+        Action, ApplyResult, Change, Crash, Fold, Item, ItemKind, Key, Record, Scope, Selector,
+        Snapshot,
     },
     errors::Code,
 };
@@ -117,6 +118,18 @@
     ]
 }
 
+fn any_record() -> impl Strategy<Value = Vec<u8>> {
+    let crash = |suspects| Record::Crash(Crash { endpoint: "e".into(), suspects });
+    let cleared = |fingerprint| Record::Cleared { fingerprint };
+    let fingerprint = prop_oneof![0u64..3, Just(u64::MAX)];
+    prop_oneof![
+        4 => (any_action(), 0u64..8).prop_map(|(action, base)| change(base, action)),
+        2 => prop::collection::vec(fingerprint.clone(), 1..4)
+            .prop_map(move |suspects| serde_json::to_vec(&crash(suspects)).unwrap()),
+        1 => fingerprint.prop_map(move |f| serde_json::to_vec(&cleared(f)).unwrap()),
+    ]
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 200, rng_seed: proptest::test_runner::RngSeed::Fixed(11), failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -124,11 +137,10 @@
     /// ends in the same state as one that read every record.
     #[test]
     fn late_reader_reaches_the_same_state(
-        actions in prop::collection::vec((any_action(), 0u64..8), 1..40),
+        records in prop::collection::vec(any_record(), 1..40),
         cut in 0usize..40,
         stale in 0usize..40,
     ) {
-        let records: Vec<_> = actions.into_iter().map(|(a, base)| change(base, a)).collect();
         let mut full = Fold::default();
         let mut states = Vec::new();
         for (i, record) in records.iter().enumerate() {
--- a/tests/end_to_end/outages.rs
+++ b/tests/end_to_end/outages.rs
@@ -71,6 +71,37 @@
 }
 
 /// The log retains fewer records than were written, so the rest must come from snapshots.
+/// The snapshot contains a request that crashed engines, and no entry is left that knows
+/// the configuration.
+#[test]
+fn last_entry_starts_from_a_snapshot_with_suspects() {
+    run(async {
+        let mut spec = cluster_spec();
+        spec.log_faults.retention = 260;
+        let mut cluster = start_cluster(&spec).await;
+        let request = completion_request("roster", "CRASH-ENGINE now", 4, false);
+        let result = client_for(&cluster, "entry-east").complete(&request).await;
+        assert_eq!(result.code, Code::Quarantined.number(), "{result:?}");
+        for i in 0..420 {
+            let action = Action::Set { key: "tenant.rate_per_s".into(), value: 1000 + i };
+            cluster.submit_change(action).await.unwrap();
+            // Appends are rate-limited, and the followers also append snapshots.
+            tokio::time::sleep(Duration::from_millis(8)).await;
+        }
+        cluster.kill_entry("entry-east").await;
+        cluster.kill_entry("entry-west").await;
+        cluster.start_entry("entry-late", &Site::of("east")).await.unwrap();
+        assert!(
+            cluster.wait_until_propagated(TIMEOUT).await.is_some(),
+            "the last entry did not read the snapshot"
+        );
+        let state = cluster.entries["entry-late"].store.view().state;
+        assert_eq!(state.value(Key::RatePerSecond, &Scope::default()), 1419);
+        assert_eq!(state.suspects.values().map(|s| s.crashes).max(), Some(2));
+        cluster.shutdown().await;
+    });
+}
+
 #[test]
 fn late_entry_starts_from_a_snapshot() {
     run(async {
