--- a/src/gateway/quarantine_store.rs
+++ b/src/gateway/quarantine_store.rs
@@ -22,7 +22,7 @@
 const MIN_SAVED_CRASHES: usize = 2;
 /// Longest time that a read waits for records, which are rare.
 const MAX_WAIT: Duration = Duration::from_secs(20);
-const RETRY_DELAY: Duration = Duration::from_millis(300);
+const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Merges the saved reports of all gateways.
 #[derive(Debug)]
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -187,6 +187,12 @@
         self.lock().gate.history().quarantined(Instant::now())
     }
 
+    /// Number of crashes counted against all requests.
+    pub fn counted_crashes(&self) -> usize {
+        let reports = self.lock().gate.history().reports(|_, _, _| true);
+        reports.iter().map(|r| r.crashes.len()).sum()
+    }
+
     /// Number of requests whose crashes have yet to be written to the store.
     pub fn unsaved_reports(&self) -> usize {
         self.lock().unsaved_reports.len()
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -269,6 +269,39 @@
     });
 }
 
+/// The request goes to another gateway each time, and every crash is seen by one only.
+#[test]
+fn crashes_that_different_gateways_saw_add_up() {
+    run(async {
+        let endpoints = crashing_endpoints(|_| vec![Step::Crash]).await;
+        let first = TestGateway::start(&endpoints.iter().collect::<Vec<_>>()).await;
+        let seeds = vec![first.peer_address.ip()];
+        let mut gateways = vec![first];
+        for i in 2..=4 {
+            let vm = IpAddr::V4(Ipv4Addr::new(127, 0, 0, i));
+            let address = SocketAddr::new(vm, gateways[0].peer_address.port());
+            let log = gateways[0].log.clone();
+            let gateway = TestGateway::start_with(log, address, seeds.clone()).await;
+            gateway.wait_for_version(1).await;
+            gateway.wait_for_endpoints(ENDPOINTS).await;
+            gateways.push(gateway);
+        }
+        let mut last = Vec::new();
+        for i in 0..8 {
+            let gateway = &gateways[i % gateways.len()];
+            let id = format!("x-request-id: q{i}\r\n");
+            last.push(gateway.send("POST", "/book/1", &id, POISON).await.status);
+            gateway.wait_until(|g| !g.process.shared().is_checking_for_crash()).await;
+            let known = gateway.process.shared().counted_crashes();
+            for other in &gateways {
+                other.wait_until(|g| g.process.shared().counted_crashes() == known).await;
+            }
+        }
+        assert_eq!(last[MAX_CRASHES..], [503; 8 - MAX_CRASHES]);
+        assert_eq!(crashed(&endpoints), MAX_CRASHES);
+    });
+}
+
 /// Requests that run beside the crashing one are resumed and not refused, although they
 /// meet it again.
 #[test]
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -46,6 +46,12 @@
     };
     let reports = CrashReports { reports: (0..9).map(report).collect() };
     let bytes = encoded_size(Body::CrashReports(reports));
+    let after_one_crash = CrashReport { crashes: vec![u64::MAX], cleared: Vec::new(), ..report(0) };
+    let reports = CrashReports { reports: vec![after_one_crash; 9] };
+    println!(
+        "{bytes} bytes at most, {} after one crash",
+        encoded_size(Body::CrashReports(reports))
+    );
     assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}");
 }
 
