--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -6,4 +6,4 @@
 
 pub use crash_history::{CrashHistory, CrashReport, Verdict};
 pub use registry::{AttemptEnd, Permit, QuarantineRegistry};
-pub use run_gate::{Ended, RunEnd, RunGate, RunId, RunPermit};
+pub use run_gate::{RunEnd, RunGate, RunId, RunOutcome, RunPermit};
--- a/src/core/quarantine/run_gate.rs
+++ b/src/core/quarantine/run_gate.rs
@@ -44,7 +44,7 @@
 
 /// What follows from the end of a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Ended {
+pub struct RunOutcome {
     /// Whether the endpoint has to be checked for a crash.
     pub needs_check: bool,
     /// Number of earlier crashes that no longer count against the request.
@@ -55,7 +55,9 @@
 enum RunState {
     Starting,
     Responding,
+    // Its endpoint is being checked.
     Interrupted,
+    // Its caller has left, or its endpoint was found alive.
     Ended { since: Instant },
 }
 
@@ -221,8 +223,8 @@
     }
 
     /// Records the end of a run.
-    pub fn end(&mut self, now: Instant, id: RunId, end: RunEnd) -> Ended {
-        let Some(run) = self.runs.get_mut(&id) else { return Ended::default() };
+    pub fn end(&mut self, now: Instant, id: RunId, end: RunEnd) -> RunOutcome {
+        let Some(run) = self.runs.get_mut(&id) else { return RunOutcome::default() };
         let was_suspect = !run.known_crashes.is_empty();
         match end {
             RunEnd::Interrupted => run.state = RunState::Interrupted,
@@ -230,12 +232,12 @@
             RunEnd::Abandoned if was_suspect => run.state = RunState::Interrupted,
             RunEnd::Abandoned => run.state = RunState::Ended { since: now },
             RunEnd::Completed | RunEnd::Failed => {
-                let Some(run) = self.runs.remove(&id) else { return Ended::default() };
+                let Some(run) = self.runs.remove(&id) else { return RunOutcome::default() };
                 let cleared = if end == RunEnd::Completed { self.clear(now, run) } else { 0 };
-                return Ended { needs_check: false, cleared };
+                return RunOutcome { needs_check: false, cleared };
             }
         }
-        Ended { needs_check: run.state == RunState::Interrupted, cleared: 0 }
+        RunOutcome { needs_check: run.state == RunState::Interrupted, cleared: 0 }
     }
 
     /// Runs that ended in a way that a crash would explain.
--- a/src/gateway/quarantine_store.rs
+++ b/src/gateway/quarantine_store.rs
@@ -1,7 +1,10 @@
 //! Keeps requests that crashed several endpoints in the store, so that they are not
 //! forgotten when all gateways restart.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use log::{info, warn};
 use metrics::counter;
@@ -32,7 +35,7 @@
 
 impl QuarantineReader {
     fn merge(&self, records: Vec<KeyedRecord>) {
-        let now = std::time::Instant::now();
+        let now = Instant::now();
         let mut state = self.shared.lock();
         for record in records {
             let Some(fingerprint) = parse_key(&record.key) else {
