Silence of an endpoint ends no response

What callers saw: beside an endpoint that was silent for a second or two and then went on, a resumable stream was aborted with most of its time left, and idempotent requests got 502, whenever no other endpoint took them over: none was free, it refused or failed, the retry budget was used up, or the service had gone with a new configuration.

Cause: the gateway took silence (1.5 s in a stream, 0.4 of the time left before the head) for a failure and closed the connection before it had another endpoint. Class of fault: an irreversible step on a suspicion.

Change: silence starts a second attempt; the first one goes on, and the endpoint that responds first serves the request. Only then is the other connection closed. A second attempt that is refused or fails is made again 0.5 s later while the route allows more runs. Sends count from the moment they start, so that a second attempt that loses still counts as a run. OutboundRequest holds what all attempts share, since two of them now run at a time. New log lines: no_attempt with the reason why nothing follows; the deadline's line is timed_out, silent means a second attempt.

Measured: the 8 tests of silent_endpoints failed before and pass now; all 82 gateway tests pass (21.9 s).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,12 +1,13 @@
-//! Sends a request to one endpoint and decides whether a failed attempt may be retried.
+//! Makes attempts at endpoints until one responds. While an endpoint is silent, a second
+//! attempt is made elsewhere, and the endpoint that responds first serves the request.
 
 use std::{
     net::SocketAddr,
+    pin::{Pin, pin},
     time::{Duration, Instant},
 };
 
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, Response, body::Incoming};
+use hyper::{Response, StatusCode, body::Incoming};
 use log::{info, warn};
 use tokio::time;
 
@@ -14,22 +15,21 @@
     core::{ids::EndpointId, quarantine::RunEnd},
     errors::{Code, Refusal},
     gateway::{
+        outbound::{AttemptError, SentRequest},
         refusals,
         request::ProxiedRequest,
         run::RunGuard,
         shared::{EndpointChoice, RequestGuard},
-        upstream::{Connection, SendError},
+        upstream::Connection,
     },
-    platform::{self, ForwardParams, NotRunReason, ResponseHead},
+    platform::{NotRunReason, ResponseHead},
 };
 
-/// Maximum size of a response that is not streamed, bytes.
-pub(super) const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-/// Time allowed after the deadline for a response on its way from the endpoint.
-pub(super) const DEADLINE_SLACK: Duration = Duration::from_millis(150);
-/// Share of the remaining time to wait for a response head while a further attempt is
-/// possible.
+/// Share of the remaining time to wait for a response head before a second attempt.
 const RESPONSE_TIMEOUT_SHARE: f64 = 0.4;
+/// Pause before another second attempt, after no endpoint took the last one.
+pub(super) const SECOND_ATTEMPT_PAUSE: Duration = Duration::from_millis(500);
+
 /// A response whose head has been received.
 #[derive(Debug)]
 pub(super) struct EndpointResponse {
@@ -41,16 +41,22 @@
     pub(super) endpoint: EndpointId,
 }
 
-/// Why an attempt gave no usable response.
-enum AttemptError {
-    /// The request was not sent.
-    NotSent(String),
-    /// The endpoint reported that it did not run the request.
-    NotRun(NotRunReason),
-    /// The request may have run.
-    MayHaveRun(String),
-    /// No response head arrived in time; the request may be running.
-    TimedOut,
+/// The endpoint of an attempt and what is recorded about it.
+struct Attempt {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    guard: RequestGuard,
+    run: RunGuard,
+}
+
+/// What came of waiting for a silent endpoint beside a second attempt.
+pub(super) enum Race<T> {
+    /// The silent endpoint went on, or both attempts failed.
+    First(T),
+    /// The second endpoint responded.
+    Second(Box<EndpointResponse>),
+    /// No endpoint took the second attempt, and the first one is still silent.
+    Undecided,
 }
 
 impl ProxiedRequest {
@@ -62,6 +68,106 @@
         &mut self,
         last_event: Option<&str>,
     ) -> Result<EndpointResponse, Refusal> {
+        loop {
+            let mut attempt = self.start_attempt().await?;
+            let mut sending = pin!(self.send(&attempt, last_event));
+            let mut wait = self.response_timeout();
+            let result = loop {
+                if !self.can_run_again() {
+                    break sending.await;
+                }
+                if let Ok(result) = time::timeout(wait, &mut sending).await {
+                    break result;
+                }
+                self.record_silence(&attempt.endpoint);
+                let run = &mut attempt.run;
+                let is_usable = |result: &Result<SentRequest, AttemptError>| {
+                    result.as_ref().inspect_err(|err| end_failed(run, err)).is_ok()
+                };
+                match self.race_second(sending.as_mut(), is_usable, last_event).await {
+                    Race::First(result) => break result,
+                    Race::Second(second) => {
+                        attempt.run.record_end(RunEnd::Interrupted);
+                        return Ok(*second);
+                    }
+                    Race::Undecided => wait = SECOND_ATTEMPT_PAUSE,
+                }
+            };
+            match result {
+                Ok(sent) => return Ok(attempt.received(sent)),
+                Err(err) => self.handle_failure(attempt, err)?,
+            }
+        }
+    }
+
+    /// Waits for `first` beside a second attempt. `is_usable` tells whether its output is
+    /// one to go on with; if not, the second attempt decides.
+    pub(super) async fn race_second<F: Future>(
+        &mut self,
+        mut first: Pin<&mut F>,
+        mut is_usable: impl FnMut(&F::Output) -> bool,
+        last_event: Option<&str>,
+    ) -> Race<F::Output> {
+        let mut failed = None;
+        let second = {
+            let mut second = pin!(self.second_response(last_event));
+            loop {
+                tokio::select! {
+                    biased;
+                    output = &mut first, if failed.is_none() => {
+                        if is_usable(&output) {
+                            return Race::First(output);
+                        }
+                        failed = Some(output);
+                    }
+                    second = &mut second => break second,
+                }
+            }
+        };
+        match (second, failed) {
+            (Ok(response), _) => Race::Second(Box::new(response)),
+            (Err(_), Some(output)) => Race::First(output),
+            (Err(refusal), None) => {
+                self.log_no_attempt(&refusal);
+                Race::Undecided
+            }
+        }
+    }
+
+    /// Logs why there is no further attempt, where the caller gets no refusal.
+    pub(super) fn log_no_attempt(&self, refusal: &Refusal) {
+        let (id, code, why) = (self.id(), refusal.code.number(), &refusal.message);
+        info!("event=no_attempt id={id} code={code} why=\"{why}\"");
+    }
+
+    /// Notes that an endpoint is silent, before a second attempt.
+    pub(super) fn record_silence(&mut self, endpoint: &EndpointId) {
+        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        warn!("event=silent id={} endpoint={endpoint} left_ms={left}", self.id());
+        self.shared.lock().dispatcher.avoid(Instant::now(), endpoint);
+        self.record_tried(endpoint);
+    }
+
+    /// Like [`Self::next_response`], but each endpoint is awaited until the deadline, and one
+    /// that fails is no reason to give up the first.
+    async fn second_response(
+        &mut self,
+        last_event: Option<&str>,
+    ) -> Result<EndpointResponse, Refusal> {
+        loop {
+            let attempt = self.start_attempt().await?;
+            match self.send(&attempt, last_event).await {
+                Ok((response, ..)) if response.status().is_server_error() => {
+                    self.handle_error(attempt, response.status())?;
+                }
+                Ok(sent) => return Ok(attempt.received(sent)),
+                Err(err) => self.handle_failure(attempt, err)?,
+            }
+        }
+    }
+
+    /// Waits for an endpoint and for the permit to run there.
+    async fn start_attempt(&mut self) -> Result<Attempt, Refusal> {
         loop {
             self.wait_for_permit().await?;
             let tried = self.tried.clone();
@@ -93,169 +199,88 @@
             let Some(run) = self.start_run(&endpoint, address) else { continue };
             self.retry_reserved = false;
             self.log_sent(&endpoint);
-            match self.send(&endpoint, address, last_event).await {
-                Ok((response, head, connection)) => {
-                    return Ok(EndpointResponse {
-                        response,
-                        head,
-                        connection,
-                        guard,
-                        run,
-                        endpoint,
-                    });
-                }
-                Err(err) => self.handle_failure(&endpoint, address, run, err)?,
-            }
+            self.record_send();
+            return Ok(Attempt { endpoint, address, guard, run });
         }
     }
 
+    /// The exchange with the endpoint of an attempt, up to the response head.
+    fn send(
+        &self,
+        attempt: &Attempt,
+        last_event: Option<&str>,
+    ) -> impl Future<Output = Result<SentRequest, AttemptError>> + use<> {
+        let last_event = last_event.map(str::to_owned);
+        self.outbound.clone().send(attempt.endpoint.clone(), attempt.address, last_event)
+    }
+
+    /// Time to wait for a response head before a second attempt.
+    fn response_timeout(&self) -> Duration {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        remaining.mul_f64(RESPONSE_TIMEOUT_SHARE).max(self.route.target)
+    }
+
+    /// Records that a second endpoint failed and returns `Ok` when another may follow.
+    fn handle_error(&mut self, mut attempt: Attempt, status: StatusCode) -> Result<(), Refusal> {
+        self.log_endpoint_error(&attempt.endpoint, status);
+        attempt.run.record_end(RunEnd::Failed);
+        self.record_tried(&attempt.endpoint);
+        if self.can_run_again() { Ok(()) } else { Err(self.endpoint_failed()) }
+    }
+
     /// Records a failed attempt and returns `Ok` when another may follow.
-    fn handle_failure(
-        &mut self,
-        endpoint: &EndpointId,
-        address: SocketAddr,
-        run: RunGuard,
-        err: AttemptError,
-    ) -> Result<(), Refusal> {
+    fn handle_failure(&mut self, mut attempt: Attempt, err: AttemptError) -> Result<(), Refusal> {
         let id = self.id().into_owned();
+        let endpoint = &attempt.endpoint;
         let now = Instant::now();
+        end_failed(&mut attempt.run, &err);
+        self.record_tried(endpoint);
         match err {
             AttemptError::NotSent(text) => {
                 warn!("event=not_sent id={id} endpoint={endpoint} error=\"{text}\"");
-                run.end_unreachable();
-                self.shared.pool.close_all(address);
+                self.record_not_sent();
+                self.shared.pool.close_all(attempt.address);
                 self.shared.lock().dispatcher.avoid(now, endpoint);
-                self.tried.push(endpoint.clone());
                 Ok(())
             }
             AttemptError::NotRun(reason) => {
-                self.sends += 1;
-                run.end(RunEnd::Failed);
                 info!("event=not_run id={id} endpoint={endpoint} why={reason:?}");
+                self.record_not_run();
                 let dispatcher = &mut self.shared.lock().dispatcher;
                 match reason {
                     NotRunReason::Refused => dispatcher.avoid(now, endpoint),
                     NotRunReason::Elsewhere => dispatcher.record_misdirected(now, endpoint),
                 }
-                self.tried.push(endpoint.clone());
                 Ok(())
             }
             AttemptError::MayHaveRun(text) => {
-                self.record_run();
                 warn!("event=broken id={id} endpoint={endpoint} error=\"{text}\"");
-                self.tried.push(endpoint.clone());
-                self.shared.pool.close_all(address);
-                run.end(RunEnd::Interrupted);
+                self.shared.pool.close_all(attempt.address);
                 if self.can_run_again() { Ok(()) } else { Err(self.endpoint_failed()) }
             }
             AttemptError::TimedOut => {
-                self.record_run();
-                warn!("event=silent id={id} endpoint={endpoint}");
-                run.end(RunEnd::Interrupted);
-                self.tried.push(endpoint.clone());
+                warn!("event=timed_out id={id} endpoint={endpoint}");
                 self.shared.lock().dispatcher.avoid(now, endpoint);
-                if now < self.deadline && self.can_run_again() {
-                    Ok(())
-                } else {
-                    Err(Refusal::new(
-                        Code::DeadlineExceeded,
-                        "the endpoint did not respond in time",
-                    ))
-                }
+                let text = "the endpoint did not respond in time";
+                Err(Refusal::new(Code::DeadlineExceeded, text))
             }
         }
     }
+}
 
-    /// Sends the request to an endpoint and validates the response head.
-    async fn send(
-        &self,
-        endpoint: &EndpointId,
-        address: SocketAddr,
-        last_event: Option<&str>,
-    ) -> Result<(Response<Incoming>, ResponseHead, Connection), AttemptError> {
-        let (response, connection) = self.exchange(endpoint, address, last_event).await?;
-        let head = platform::parse_response_head(response.status(), response.headers(), &self.id);
-        if !head.matches_request {
-            return Err(AttemptError::MayHaveRun(
-                "the response belongs to another request".to_owned(),
-            ));
-        }
-        if let Some(reason) = head.not_run {
-            self.drain_refusal(response, head, connection).await;
-            return Err(AttemptError::NotRun(reason));
-        }
-        if !head.is_valid {
-            return Err(AttemptError::MayHaveRun(
-                "the successful response has no signature".to_owned(),
-            ));
-        }
-        Ok((response, head, connection))
-    }
-
-    /// Sends the request on an idle connection, or on a new one if there is none.
-    async fn exchange(
-        &self,
-        endpoint: &EndpointId,
-        address: SocketAddr,
-        last_event: Option<&str>,
-    ) -> Result<(Response<Incoming>, Connection), AttemptError> {
-        if let Some(mut idle) = self.shared.pool.acquire(address) {
-            match self.send_on_connection(&mut idle, endpoint, last_event).await {
-                // The endpoint closed the connection before the request was sent.
-                Err(AttemptError::NotSent(_)) => {}
-                response => return Ok((response?, idle)),
-            }
-        }
-        let opened = Connection::open(address).await;
-        let mut connection = opened.map_err(|e| AttemptError::NotSent(e.to_string()))?;
-        let response = self.send_on_connection(&mut connection, endpoint, last_event).await?;
-        Ok((response, connection))
-    }
-
-    /// Sends the request on a connection and waits for the response head.
-    async fn send_on_connection(
-        &self,
-        connection: &mut Connection,
-        endpoint: &EndpointId,
-        last_event: Option<&str>,
-    ) -> Result<Response<Incoming>, AttemptError> {
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
-        let params = ForwardParams {
-            endpoint,
-            deadline: remaining,
-            priority: self.route.priority,
-            last_event_id: last_event,
-        };
-        let mut req = Request::new(Full::new(self.body.clone()));
-        *req.method_mut() = self.method.clone();
-        *req.uri_mut() = self.uri.clone();
-        *req.headers_mut() = platform::forwarded_headers(&self.headers, params);
-        let wait = match self.route.kind.may_repeat() && self.runs + 1 < self.route.max_attempts {
-            true => remaining.mul_f64(RESPONSE_TIMEOUT_SHARE).max(self.route.target),
-            false => remaining + DEADLINE_SLACK,
-        };
-        let reused = connection.was_used();
-        match time::timeout(wait, connection.send(req)).await {
-            Err(_) => Err(AttemptError::TimedOut),
-            Ok(Err(SendError::NotSent(text))) => Err(AttemptError::NotSent(text)),
-            Ok(Err(SendError::MayHaveRun(text))) => {
-                Err(AttemptError::MayHaveRun(format!("{text} (reused connection: {reused})")))
-            }
-            Ok(Ok(response)) => Ok(response),
-        }
+impl Attempt {
+    fn received(self, (response, head, connection): SentRequest) -> EndpointResponse {
+        let Self { endpoint, guard, run, .. } = self;
+        EndpointResponse { response, head, connection, guard, run, endpoint }
     }
+}
 
-    /// Reads the rest of an endpoint's refusal so that the connection can be reused.
-    async fn drain_refusal(
-        &self,
-        response: Response<Incoming>,
-        head: ResponseHead,
-        connection: Connection,
-    ) {
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect();
-        let read = time::timeout(DEADLINE_SLACK, body).await;
-        if matches!(read, Ok(Ok(_))) && !head.closes_connection {
-            self.shared.pool.release(connection, head.keep_alive);
+fn end_failed(run: &mut RunGuard, err: &AttemptError) {
+    match err {
+        AttemptError::NotSent(_) => run.record_unreachable(),
+        AttemptError::NotRun(_) => run.record_end(RunEnd::Failed),
+        AttemptError::MayHaveRun(_) | AttemptError::TimedOut => {
+            run.record_end(RunEnd::Interrupted);
         }
     }
 }
--- /dev/null
+++ b/src/gateway/outbound.rs
@@ -0,0 +1,147 @@
+//! Sends a request to one endpoint and validates the head of its response.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
+use tokio::time;
+
+use crate::{
+    core::ids::EndpointId,
+    gateway::{
+        shared::SharedState,
+        upstream::{Connection, SendError},
+    },
+    platform::{self, ForwardParams, NotRunReason, ResponseHead},
+};
+
+/// Maximum size of a response that is not streamed, bytes.
+pub(super) const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Time allowed after the deadline for a response on its way from the endpoint.
+pub(super) const DEADLINE_SLACK: Duration = Duration::from_millis(150);
+
+/// What is the same in all attempts of a request.
+#[derive(Debug)]
+pub(super) struct OutboundRequest {
+    pub(super) shared: Arc<SharedState>,
+    pub(super) id: Vec<u8>,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) priority: u8,
+    pub(super) deadline: Instant,
+}
+
+/// A valid response head and the connection on which the body follows.
+pub(super) type SentRequest = (Response<Incoming>, ResponseHead, Connection);
+
+/// Why an attempt gave no usable response.
+#[derive(Debug)]
+pub(super) enum AttemptError {
+    /// The request was not sent.
+    NotSent(String),
+    /// The endpoint reported that it did not run the request.
+    NotRun(NotRunReason),
+    /// The request may have run.
+    MayHaveRun(String),
+    /// No response head arrived before the deadline; the request may be running.
+    TimedOut,
+}
+
+impl OutboundRequest {
+    /// Sends the request to an endpoint and validates the response head.
+    pub(super) async fn send(
+        self: Arc<Self>,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        last_event: Option<String>,
+    ) -> Result<SentRequest, AttemptError> {
+        let (response, connection) =
+            self.exchange(&endpoint, address, last_event.as_deref()).await?;
+        let head = platform::parse_response_head(response.status(), response.headers(), &self.id);
+        if !head.matches_request {
+            return Err(AttemptError::MayHaveRun(
+                "the response belongs to another request".to_owned(),
+            ));
+        }
+        if let Some(reason) = head.not_run {
+            self.drain_refusal(response, head, connection).await;
+            return Err(AttemptError::NotRun(reason));
+        }
+        if !head.is_valid {
+            return Err(AttemptError::MayHaveRun(
+                "the successful response has no signature".to_owned(),
+            ));
+        }
+        Ok((response, head, connection))
+    }
+
+    /// Sends the request on an idle connection, or on a new one if there is none.
+    async fn exchange(
+        &self,
+        endpoint: &EndpointId,
+        address: SocketAddr,
+        last_event: Option<&str>,
+    ) -> Result<(Response<Incoming>, Connection), AttemptError> {
+        if let Some(mut idle) = self.shared.pool.acquire(address) {
+            match self.send_on_connection(&mut idle, endpoint, last_event).await {
+                // The endpoint closed the connection before the request was sent.
+                Err(AttemptError::NotSent(_)) => {}
+                response => return Ok((response?, idle)),
+            }
+        }
+        let opened = Connection::open(address).await;
+        let mut connection = opened.map_err(|e| AttemptError::NotSent(e.to_string()))?;
+        let response = self.send_on_connection(&mut connection, endpoint, last_event).await?;
+        Ok((response, connection))
+    }
+
+    /// Sends the request on a connection and waits for the response head.
+    async fn send_on_connection(
+        &self,
+        connection: &mut Connection,
+        endpoint: &EndpointId,
+        last_event: Option<&str>,
+    ) -> Result<Response<Incoming>, AttemptError> {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let params = ForwardParams {
+            endpoint,
+            deadline: remaining,
+            priority: self.priority,
+            last_event_id: last_event,
+        };
+        let mut req = Request::new(Full::new(self.body.clone()));
+        *req.method_mut() = self.method.clone();
+        *req.uri_mut() = self.uri.clone();
+        *req.headers_mut() = platform::forwarded_headers(&self.headers, params);
+        let reused = connection.was_used();
+        match time::timeout(remaining + DEADLINE_SLACK, connection.send(req)).await {
+            Err(_) => Err(AttemptError::TimedOut),
+            Ok(Err(SendError::NotSent(text))) => Err(AttemptError::NotSent(text)),
+            Ok(Err(SendError::MayHaveRun(text))) => {
+                Err(AttemptError::MayHaveRun(format!("{text} (reused connection: {reused})")))
+            }
+            Ok(Ok(response)) => Ok(response),
+        }
+    }
+
+    /// Reads the rest of an endpoint's refusal so that the connection can be reused.
+    async fn drain_refusal(
+        &self,
+        response: Response<Incoming>,
+        head: ResponseHead,
+        connection: Connection,
+    ) {
+        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect();
+        let read = time::timeout(DEADLINE_SLACK, body).await;
+        if matches!(read, Ok(Ok(_))) && !head.closes_connection {
+            self.shared.pool.release(connection, head.keep_alive);
+        }
+    }
+}
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,18 +1,25 @@
 //! Relays event streams: complete events are forwarded as they arrive, and an interrupted
 //! stream is resumed at another endpoint where the route allows it.
 
-use std::time::{Duration, Instant};
+use std::{
+    pin::pin,
+    time::{Duration, Instant},
+};
 
-use bytes::Buf;
+use bytes::{Buf, Bytes};
 use http_body_util::BodyExt;
-use hyper::{Response, StatusCode, body::Incoming};
+use hyper::{
+    Response, StatusCode,
+    body::{Frame, Incoming},
+};
 use log::{info, warn};
 use tokio::time;
 
 use crate::{
     core::{forwarding::EventSplitter, ids::EndpointId, quarantine::RunEnd},
     gateway::{
-        attempt::{DEADLINE_SLACK, EndpointResponse},
+        attempt::{EndpointResponse, Race, SECOND_ATTEMPT_PAUSE},
+        outbound::DEADLINE_SLACK,
         request::ProxiedRequest,
         run::RunGuard,
         shared::RequestGuard,
@@ -21,24 +28,36 @@
     platform,
 };
 
-/// How long a started stream may be silent before it is resumed at another endpoint.
-/// Callers disconnect after two seconds at the earliest.
-const EVENT_IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// How long a started stream may be silent before a second attempt to resume it. Callers
+/// disconnect after two seconds at the earliest.
+const EVENT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+type FrameResult = Option<Result<Frame<Bytes>, hyper::Error>>;
 
 /// How the stream of one attempt ended.
 enum StreamEnd {
     Complete,
     CallerGone,
     Interrupted(String),
+    /// It was silent, and another endpoint has resumed it.
+    Resumed(Box<EndpointResponse>),
     DeadlineExceeded,
 }
 
+/// What happens next in the stream of one attempt.
+enum Next {
+    Frame(FrameResult),
+    CallerGone,
+    Resumed(Box<EndpointResponse>),
+    /// Nothing, within the time to wait or beside a second attempt that no endpoint took.
+    Silent,
+}
+
 /// Returns the response head and relays the stream in a background task.
-pub(super) async fn start(mut request: ProxiedRequest, received: EndpointResponse) -> Reply {
+pub(super) async fn start(request: ProxiedRequest, received: EndpointResponse) -> Reply {
     let mut head = Response::new(());
     *head.status_mut() = received.response.status();
     *head.headers_mut() = platform::response_headers(received.response.headers());
-    request.record_run();
     let (tx, body) = ReplyBody::stream();
     tokio::spawn(relay(request, received, tx));
     head.map(|()| body)
@@ -50,7 +69,7 @@
     loop {
         let endpoint = received.endpoint.clone();
         events.start_next_run();
-        match relay_attempt(&mut request, received, &tx, &mut events).await {
+        received = match relay_attempt(&mut request, received, &tx, &mut events).await {
             StreamEnd::Complete => {
                 request.log_end(StatusCode::OK, "streamed", Some(&endpoint));
                 return;
@@ -60,38 +79,45 @@
                 return;
             }
             StreamEnd::DeadlineExceeded => return abort(&request, &tx, "time_up", &endpoint).await,
+            StreamEnd::Resumed(next) => *next,
             StreamEnd::Interrupted(text) => {
                 warn!(
                     "event=stream_broken id={} endpoint={endpoint} last={:?} error=\"{text}\"",
                     request.id(),
                     events.last_id()
                 );
+                request.record_tried(&endpoint);
+                let next = tokio::select! {
+                    next = resume(&mut request, &events) => next,
+                    () = tx.closed() => return,
+                };
+                let Some(next) = next else {
+                    return abort(&request, &tx, "broken", &endpoint).await;
+                };
+                next
             }
-        }
-        request.tried.push(endpoint.clone());
-        if !request.can_run_again() || request.deadline <= Instant::now() {
-            return abort(&request, &tx, "broken", &endpoint).await;
-        }
-        let next = tokio::select! {
-            next = request.next_response(events.last_id()) => next,
-            () = tx.closed() => return,
         };
-        match next {
-            Ok(next) if next.response.status().is_success() => {
-                info!(
-                    "event=stream_resumed id={} endpoint={} after={:?}",
-                    request.id(),
-                    next.endpoint,
-                    events.last_id()
-                );
-                request.record_run();
-                received = next;
-            }
-            _ => return abort(&request, &tx, "broken", &endpoint).await,
+        if !received.response.status().is_success() {
+            return abort(&request, &tx, "broken", &endpoint).await;
         }
+        info!(
+            "event=stream_resumed id={} endpoint={} after={:?}",
+            request.id(),
+            received.endpoint,
+            events.last_id()
+        );
     }
 }
 
+/// Resumes an interrupted stream at another endpoint.
+async fn resume(request: &mut ProxiedRequest, events: &EventSplitter) -> Option<EndpointResponse> {
+    if !request.can_run_again() || request.deadline <= Instant::now() {
+        return None;
+    }
+    let next = request.next_response(events.last_id()).await;
+    next.inspect_err(|refusal| request.log_no_attempt(refusal)).ok()
+}
+
 /// Logs a failed stream and aborts the response to the caller.
 async fn abort(request: &ProxiedRequest, tx: &BodySender, how: &str, endpoint: &EndpointId) {
     request.log_end(StatusCode::BAD_GATEWAY, how, Some(endpoint));
@@ -106,65 +132,123 @@
     tx: &BodySender,
     events: &mut EventSplitter,
 ) -> StreamEnd {
-    let EndpointResponse { response, head, connection, guard, run, .. } = received;
-    let end = relay_events(request, response, &guard, &run, tx, events).await;
-    run.end(match end {
+    let EndpointResponse { response, head, connection, guard, run, endpoint } = received;
+    let mut stream = Stream {
+        body: response.into_body(),
+        endpoint,
+        guard,
+        run,
+        last_event_at: Instant::now(),
+        wait: EVENT_TIMEOUT,
+    };
+    let end = stream.relay(request, tx, events).await;
+    stream.run.record_end(match end {
         StreamEnd::Complete => RunEnd::Completed,
         StreamEnd::CallerGone => RunEnd::Abandoned,
-        StreamEnd::Interrupted(_) | StreamEnd::DeadlineExceeded => RunEnd::Interrupted,
+        StreamEnd::Interrupted(_) | StreamEnd::Resumed(_) | StreamEnd::DeadlineExceeded => {
+            RunEnd::Interrupted
+        }
     });
-    drop(guard);
+    drop(stream);
     if matches!(end, StreamEnd::Complete) && !head.closes_connection {
         request.shared.pool.release(connection, head.keep_alive);
     }
     end
 }
 
-async fn relay_events(
-    request: &mut ProxiedRequest,
-    response: Response<Incoming>,
-    guard: &RequestGuard,
-    run: &RunGuard,
-    tx: &BodySender,
-    events: &mut EventSplitter,
-) -> StreamEnd {
-    let mut body = response.into_body();
-    let mut has_data = false;
-    let mut last_event_at = Instant::now();
-    loop {
-        let now = Instant::now();
-        let give_up_at = request.deadline + DEADLINE_SLACK;
-        let wait =
-            if has_data && request.can_run_again() { EVENT_IDLE_TIMEOUT } else { give_up_at - now };
-        let wait = wait.min(give_up_at.saturating_duration_since(now));
-        let frame = tokio::select! {
-            frame = time::timeout(wait, body.frame()) => frame,
-            () = tx.closed() => return StreamEnd::CallerGone,
-        };
-        let data = match frame {
-            Err(_) if give_up_at <= Instant::now() => return StreamEnd::DeadlineExceeded,
-            Err(_) => return StreamEnd::Interrupted("no data within the idle timeout".to_owned()),
-            Ok(None) if events.is_at_event_boundary() => break,
-            Ok(None) => return StreamEnd::Interrupted("stream ended inside an event".to_owned()),
-            Ok(Some(Err(err))) => return StreamEnd::Interrupted(err.to_string()),
-            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-        };
-        if !has_data && data.has_remaining() {
-            has_data = true;
-            guard.record_first_response();
-            run.record_response();
-        }
-        match events.push(&data) {
-            Ok(None) => {}
-            Ok(Some(complete)) => {
-                let now = Instant::now();
-                request.record_event(now - std::mem::replace(&mut last_event_at, now));
-                if tx.send(Ok(complete)).await.is_err() {
-                    return StreamEnd::CallerGone;
+/// The stream of one attempt.
+struct Stream {
+    body: Incoming,
+    endpoint: EndpointId,
+    guard: RequestGuard,
+    run: RunGuard,
+    last_event_at: Instant,
+    // How long it may be silent before the next second attempt.
+    wait: Duration,
+}
+
+impl Stream {
+    async fn relay(
+        &mut self,
+        request: &mut ProxiedRequest,
+        tx: &BodySender,
+        events: &mut EventSplitter,
+    ) -> StreamEnd {
+        let mut has_data = false;
+        loop {
+            let data = match self.next(request, tx, events, has_data).await {
+                Next::Silent if request.deadline + DEADLINE_SLACK <= Instant::now() => {
+                    return StreamEnd::DeadlineExceeded;
+                }
+                Next::Silent => continue,
+                Next::CallerGone => return StreamEnd::CallerGone,
+                Next::Resumed(next) => return StreamEnd::Resumed(next),
+                Next::Frame(None) if events.is_at_event_boundary() => return StreamEnd::Complete,
+                Next::Frame(None) => {
+                    return StreamEnd::Interrupted("stream ended inside an event".to_owned());
                 }
+                Next::Frame(Some(Err(err))) => return StreamEnd::Interrupted(err.to_string()),
+                Next::Frame(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            self.wait = EVENT_TIMEOUT;
+            if !has_data && data.has_remaining() {
+                has_data = true;
+                self.guard.record_first_response();
+                self.run.record_response();
             }
-            Err(err) => return StreamEnd::Interrupted(format!("{err:?}")),
+            match events.push(&data) {
+                Ok(None) => {}
+                Ok(Some(complete)) => {
+                    let now = Instant::now();
+                    request.record_event(now - std::mem::replace(&mut self.last_event_at, now));
+                    if tx.send(Ok(complete)).await.is_err() {
+                        return StreamEnd::CallerGone;
+                    }
+                }
+                Err(err) => return StreamEnd::Interrupted(format!("{err:?}")),
+            }
+        }
+    }
+
+    /// Waits for more of the stream, beside a second attempt once it has been silent.
+    async fn next(
+        &mut self,
+        request: &mut ProxiedRequest,
+        tx: &BodySender,
+        events: &EventSplitter,
+        has_data: bool,
+    ) -> Next {
+        let mut frame = pin!(self.body.frame());
+        let may_resume = has_data && request.can_run_again();
+        let left = (request.deadline + DEADLINE_SLACK).saturating_duration_since(Instant::now());
+        let wait = if may_resume { self.wait.min(left) } else { left };
+        tokio::select! {
+            frame = time::timeout(wait, &mut frame) => match frame {
+                Ok(frame) => return Next::Frame(frame),
+                Err(_) if wait == left => return Next::Silent,
+                Err(_) => {}
+            },
+            () = tx.closed() => return Next::CallerGone,
+        }
+        request.record_silence(&self.endpoint);
+        let run = &mut self.run;
+        let is_usable = |frame: &FrameResult| {
+            let usable = frame.as_ref().map_or(events.is_at_event_boundary(), Result::is_ok);
+            if !usable {
+                run.record_end(RunEnd::Interrupted);
+            }
+            usable
+        };
+        tokio::select! {
+            race = request.race_second(frame, is_usable, events.last_id()) => match race {
+                Race::First(frame) => Next::Frame(frame),
+                Race::Second(next) => Next::Resumed(next),
+                Race::Undecided => {
+                    self.wait = SECOND_ATTEMPT_PAUSE;
+                    Next::Silent
+                }
+            },
+            () = tx.closed() => Next::CallerGone,
         }
     }
-    StreamEnd::Complete
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::{HeaderMap, Method, Response, StatusCode, Uri, http::request::Parts};
+use hyper::{Response, StatusCode, http::request::Parts};
 use log::{info, warn};
 use metrics::{counter, histogram};
 use tokio::time;
@@ -22,7 +22,8 @@
     },
     errors::{Code, Refusal},
     gateway::{
-        attempt::{DEADLINE_SLACK, EndpointResponse, MAX_RESPONSE_BYTES},
+        attempt::EndpointResponse,
+        outbound::{DEADLINE_SLACK, MAX_RESPONSE_BYTES, OutboundRequest},
         refusals, relay,
         shared::SharedState,
     },
@@ -40,12 +41,8 @@
     pub(super) shared: Arc<SharedState>,
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
-    pub(super) id: Vec<u8>,
     pub(super) requirements: Requirements,
-    pub(super) method: Method,
-    pub(super) uri: Uri,
-    pub(super) headers: HeaderMap,
-    pub(super) body: Bytes,
+    pub(super) outbound: Arc<OutboundRequest>,
     received_at: Instant,
     pub(super) deadline: Instant,
     pub(super) fingerprint: Fingerprint,
@@ -88,17 +85,24 @@
         let fingerprint = hash::stable(&[client.as_bytes(), path.as_bytes(), &body]);
         let uri = path.parse().map_err(|_| Refusal::new(Code::UnknownPath, "unusable path"))?;
         shared.record_request(&service, &caller.requirements);
-        Ok(Self {
-            shared,
-            service,
+        let deadline = received_at + timeout;
+        let outbound = OutboundRequest {
+            shared: shared.clone(),
             id: caller.id,
-            requirements: caller.requirements,
             method: head.method,
             uri,
             headers: head.headers,
             body,
+            priority: route.priority,
+            deadline,
+        };
+        Ok(Self {
+            shared,
+            service,
+            requirements: caller.requirements,
+            outbound: Arc::new(outbound),
             received_at,
-            deadline: received_at + timeout,
+            deadline,
             fingerprint,
             tried: Vec::new(),
             runs: 0,
@@ -147,24 +151,23 @@
         &mut self,
         received: EndpointResponse,
     ) -> Result<Reply, Option<Refusal>> {
-        let EndpointResponse { response, head, connection, guard, run, endpoint } = received;
+        let EndpointResponse { response, head, connection, guard, mut run, endpoint } = received;
         guard.record_first_response();
         run.record_response();
         let (parts, incoming) = response.into_parts();
         let remaining = self.deadline.saturating_duration_since(Instant::now()) + DEADLINE_SLACK;
         let read = Limited::new(incoming, MAX_RESPONSE_BYTES).collect();
-        self.record_run();
         let body = match time::timeout(remaining, read).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(err)) => {
                 let id = self.id();
                 warn!("event=truncated id={id} endpoint={endpoint} error=\"{err}\"");
-                run.end(RunEnd::Interrupted);
-                self.tried.push(endpoint);
+                run.record_end(RunEnd::Interrupted);
+                self.record_tried(&endpoint);
                 return Err(if self.can_run_again() { None } else { Some(self.endpoint_failed()) });
             }
             Err(_) => {
-                run.end(RunEnd::Interrupted);
+                run.record_end(RunEnd::Interrupted);
                 let text = "the response was not complete before the deadline";
                 return Err(Some(Refusal::new(Code::DeadlineExceeded, text)));
             }
@@ -174,13 +177,11 @@
         }
         drop(guard);
         let failed = parts.status.is_server_error();
-        run.end(if failed { RunEnd::Failed } else { RunEnd::Completed });
+        run.record_end(if failed { RunEnd::Failed } else { RunEnd::Completed });
         if failed {
-            let id = self.id();
-            let status = parts.status.as_u16();
-            info!("event=endpoint_error id={id} endpoint={endpoint} status={status}");
+            self.log_endpoint_error(&endpoint, parts.status);
             if self.can_run_again() && self.reserve_retry() {
-                self.tried.push(endpoint);
+                self.record_tried(&endpoint);
                 return Err(None);
             }
         }
@@ -262,6 +263,12 @@
         );
     }
 
+    /// Logs the failure that an endpoint reported.
+    pub(super) fn log_endpoint_error(&self, endpoint: &EndpointId, status: StatusCode) {
+        let (id, status) = (self.id(), status.as_u16());
+        info!("event=endpoint_error id={id} endpoint={endpoint} status={status}");
+    }
+
     /// Logs the end of the request and records its metrics.
     pub(super) fn log_end(&self, status: StatusCode, how: &str, endpoint: Option<&EndpointId>) {
         let elapsed = self.received_at.elapsed();
@@ -290,20 +297,38 @@
 
     /// The request id that the caller set.
     pub(super) fn id(&self) -> Cow<'_, str> {
-        String::from_utf8_lossy(&self.id)
+        String::from_utf8_lossy(&self.outbound.id)
     }
 
     /// Id of the last event that the caller received before this request.
     pub(super) fn last_event(&self) -> Option<String> {
-        platform::last_event_id(&self.headers)
+        platform::last_event_id(&self.outbound.headers)
     }
 
-    /// Counts a send after which the request ran or may have run.
-    pub(super) fn record_run(&mut self) {
+    /// Counts a send. The request may have run until the opposite is known.
+    pub(super) fn record_send(&mut self) {
         self.sends += 1;
         self.runs += 1;
     }
 
+    /// Takes a send back: the endpoint could not be reached.
+    pub(super) fn record_not_sent(&mut self) {
+        self.sends -= 1;
+        self.runs -= 1;
+    }
+
+    /// Notes that the endpoint proved that it did not run the request.
+    pub(super) fn record_not_run(&mut self) {
+        self.runs -= 1;
+    }
+
+    /// Notes that the next attempt must not use this endpoint.
+    pub(super) fn record_tried(&mut self, endpoint: &EndpointId) {
+        if !self.tried.contains(endpoint) {
+            self.tried.push(endpoint.clone());
+        }
+    }
+
     /// Records the time to the first event, or the gap between two later ones.
     pub(super) fn record_event(&mut self, gap: Duration) {
         let class = || self.route.name.to_string();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -56,22 +56,22 @@
         self.shared.runs_changed.notify_waiters();
     }
 
-    /// Records the end of the run and checks the endpoint if it may have crashed.
-    pub(super) fn end(mut self, end: RunEnd) {
-        self.finish(end);
-    }
-
     /// Records that the endpoint could not be reached. If it crashed, runs whose callers
     /// have left may be the cause.
-    pub(super) fn end_unreachable(mut self) {
-        self.finish(RunEnd::Failed);
+    pub(super) fn record_unreachable(&mut self) {
+        if self.ended {
+            return;
+        }
+        self.record_end(RunEnd::Failed);
         let unresolved = self.shared.lock().gate.unresolved(Instant::now(), self.target.crash);
         if !unresolved.is_empty() {
             crash_check::start(&self.shared, &self.target);
         }
     }
 
-    fn finish(&mut self, end: RunEnd) {
+    /// Records the end of the run, unless that was done before, and checks the endpoint if
+    /// it may have crashed.
+    pub(super) fn record_end(&mut self, end: RunEnd) {
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
@@ -99,7 +99,7 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.finish(RunEnd::Abandoned);
+        self.record_end(RunEnd::Abandoned);
     }
 }
 
--- a/tests/gateway/silent_endpoints.rs
+++ b/tests/gateway/silent_endpoints.rs
@@ -48,7 +48,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn stream_of_a_silent_endpoint_is_not_cut() {
     run(async {
         let endpoint = ScriptedEndpoint::start(silent_stream).await;
@@ -59,7 +58,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn stream_of_a_silent_endpoint_is_not_cut_when_others_refuse_it() {
     run(async {
         let endpoints =
@@ -70,7 +68,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn stream_of_a_silent_endpoint_is_not_cut_when_another_breaks_off() {
     run(async {
         let endpoints = ScriptedEndpoint::pair(silent_stream, |_| vec![Step::Reset]).await;
@@ -81,7 +78,6 @@
 
 /// The new configuration has another service on the route and not the one that runs it.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn stream_of_a_silent_endpoint_is_not_cut_beside_a_new_configuration() {
     run(async {
         let endpoints = [
@@ -103,7 +99,6 @@
 
 /// Both endpoints are silent, and the first one goes on before the second.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn stream_goes_on_at_the_endpoint_that_responds_first() {
     run(async {
         let endpoints = ScriptedEndpoint::pair(silent_stream, |_| vec![Step::Hang]).await;
@@ -118,7 +113,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn response_of_a_silent_endpoint_is_awaited() {
     run(async {
         let endpoint = ScriptedEndpoint::start(silent_response).await;
@@ -130,7 +124,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn response_of_a_silent_endpoint_is_awaited_when_others_refuse_it() {
     run(async {
         let endpoints =
@@ -142,7 +135,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn response_comes_from_the_endpoint_that_responds_first() {
     run(async {
         let endpoints = ScriptedEndpoint::pair(silent_response, |_| vec![Step::Hang]).await;
