Read the rest of a refused request's body

What callers see: a request that is refused before its body has arrived (its route was removed, or no routes are known yet) has its connection closed while it is still sending. A connection closed with unread data is reset; a caller that loses what it had received then has neither an answer nor a refusal. Only a change of the configuration removes routes.

Cause: the handler returned without reading the body, and hyper closes such a connection. Class of fault: a response that is sent is not yet a response that arrived. The own interface had the same fault (no configuration, limits).

That a caller loses the refusal itself was not seen on Linux, which keeps what was received; whether the users' report has this cause is only suspected.

--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Instant};
 
-use hyper::{Request, StatusCode, body::Incoming};
+use hyper::{Request, StatusCode};
 use metrics::gauge;
 use tokio::net::TcpListener;
 
@@ -48,7 +48,7 @@
     R: Fn() -> bool + Clone + Send + Sync + 'static,
 {
     let (stop, stopped) = stop_channel();
-    let handler = move |req: Request<Incoming>| {
+    let handler = move |req: Request<http::RequestBody>| {
         let reply = handle_request(req.uri().path(), metrics.as_ref(), is_ready());
         async move { Ok(reply) }
     };
--- a/src/entry/http.rs
+++ b/src/entry/http.rs
@@ -5,7 +5,7 @@
     time::Instant,
 };
 
-use hyper::{Method, Request, StatusCode, body::Incoming};
+use hyper::{Method, Request, StatusCode};
 use metrics::counter;
 use serde_json::json;
 
@@ -22,7 +22,7 @@
 
 impl<L: Log> Shared<L> {
     /// Handles one HTTP request.
-    pub(super) async fn handle(self: Arc<Self>, req: Request<Incoming>) -> Reply {
+    pub(super) async fn handle(self: Arc<Self>, req: Request<http::RequestBody>) -> Reply {
         let method = req.method().clone();
         let path = req.uri().path().to_owned();
         let result = match (&method, path.as_str()) {
@@ -68,7 +68,7 @@
     async fn handle_completion(
         self: &Arc<Self>,
         kind: CompletionKind,
-        req: Request<Incoming>,
+        req: Request<http::RequestBody>,
     ) -> Result<Reply, Refusal> {
         let (context, body, guard) = self.receive_request(req).await?;
         self.complete(kind, context, guard, &body).await
@@ -76,7 +76,7 @@
 
     async fn handle_service_call(
         self: &Arc<Self>,
-        req: Request<Incoming>,
+        req: Request<http::RequestBody>,
     ) -> Result<Reply, Refusal> {
         let rest = req.uri().path().strip_prefix(SERVICES_PREFIX).unwrap_or_default().to_owned();
         let (name, path) = match rest.split_once('/') {
@@ -97,7 +97,7 @@
     /// Checks the headers, admits the request under the limits of its tenant and reads the body.
     async fn receive_request(
         self: &Arc<Self>,
-        req: Request<Incoming>,
+        req: Request<http::RequestBody>,
     ) -> Result<(RequestContext, bytes::Bytes, super::shared::TenantGuard<L>), Refusal> {
         let view = self.store.view();
         if view.state.revision == 0 {
--- a/src/fakes/engine_http.rs
+++ b/src/fakes/engine_http.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::{Method, Request, Response, StatusCode, body::Incoming, header};
+use hyper::{Method, Request, Response, StatusCode, header};
 use serde::Deserialize;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -65,7 +65,7 @@
         format!(" w{word:04x}")
     }
 
-    async fn handle(&self, req: Request<Incoming>) -> Result<Reply, ReplyAborted> {
+    async fn handle(&self, req: Request<http::RequestBody>) -> Result<Reply, ReplyAborted> {
         let method = req.method().clone();
         let path = req.uri().path().to_owned();
         let body = http::read_body(req.into_body(), MAX_BODY_BYTES, Duration::from_secs(30)).await;
--- a/src/fakes/log.rs
+++ b/src/fakes/log.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use hyper::{Request, StatusCode, body::Incoming};
+use hyper::{Request, StatusCode};
 use tokio::{net::TcpListener, sync::Notify, time};
 
 use crate::{
@@ -161,7 +161,7 @@
         }
     }
 
-    async fn handle(&self, req: Request<Incoming>) -> Result<Reply, ReplyAborted> {
+    async fn handle(&self, req: Request<http::RequestBody>) -> Result<Reply, ReplyAborted> {
         let path = req.uri().path().to_owned();
         let query = req.uri().query().unwrap_or("").to_owned();
         let topic = text_parameter(&query, "Topic");
@@ -176,7 +176,7 @@
     async fn handle_append(
         &self,
         topic: &str,
-        req: Request<Incoming>,
+        req: Request<http::RequestBody>,
     ) -> Result<Reply, ReplyAborted> {
         let body = http::read_body(req.into_body(), MAX_RECORD_BYTES, Duration::from_secs(5));
         let Ok(mut body) = body.await else {
--- a/src/fakes/service.rs
+++ b/src/fakes/service.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use hyper::{Request, StatusCode, body::Incoming};
+use hyper::{Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::{net::TcpListener, time};
 
@@ -56,7 +56,7 @@
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn handle(&self, req: Request<Incoming>) -> Result<Reply, ReplyAborted> {
+    async fn handle(&self, req: Request<http::RequestBody>) -> Result<Reply, ReplyAborted> {
         let body = http::read_body(req.into_body(), MAX_BODY_BYTES, Duration::from_secs(5)).await;
         let body = body.map_err(|_| ReplyAborted)?;
         let Ok(request) = serde_json::from_slice::<ServiceRequest>(&body) else {
--- a/src/fakes/vm_list.rs
+++ b/src/fakes/vm_list.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use hyper::{Request, StatusCode, body::Incoming, header};
+use hyper::{Request, StatusCode, header};
 use tokio::net::TcpListener;
 
 use crate::{
@@ -39,7 +39,7 @@
 
     /// Serves the list over HTTP until the stop is signalled.
     pub async fn serve(self, listener: TcpListener, stop: Stop) {
-        let handler = move |req: Request<Incoming>| {
+        let handler = move |req: Request<http::RequestBody>| {
             let vms = self.lock().clone();
             let etag = format!("\"{:x}\"", content_hash(&vms));
             let if_none_match = req.headers().get(header::IF_NONE_MATCH);
--- a/src/gateway/bootstrap.rs
+++ b/src/gateway/bootstrap.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, Request, StatusCode, body::Incoming};
+use hyper::{HeaderMap, Method, Request, StatusCode};
 use log::info;
 use prost::Message;
 use tokio::time;
@@ -55,7 +55,7 @@
 /// Answers the request of a gateway for the cached records.
 pub(super) async fn handle(
     shared: Arc<SharedState>,
-    req: Request<Incoming>,
+    req: Request<http::RequestBody>,
 ) -> Result<Reply, ReplyAborted> {
     if req.uri().path() != PATH {
         return Ok(http::text(StatusCode::NOT_FOUND, "no such path\n"));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,7 +7,6 @@
 
 use hyper::{
     Request,
-    body::Incoming,
     header::{self, HeaderValue},
     http::request::Parts,
 };
@@ -32,7 +31,7 @@
 /// [`ReplyAborted`] when the response was interrupted after its head was sent.
 pub(super) async fn handle(
     shared: Arc<SharedState>,
-    req: Request<Incoming>,
+    req: Request<http::RequestBody>,
 ) -> Result<Reply, ReplyAborted> {
     let mut reply = forward(shared.clone(), req).await;
     // The shutdown may have begun while the request ran.
@@ -42,7 +41,7 @@
     Ok(reply)
 }
 
-async fn forward(shared: Arc<SharedState>, req: Request<Incoming>) -> Reply {
+async fn forward(shared: Arc<SharedState>, req: Request<http::RequestBody>) -> Reply {
     let received_at = Instant::now();
     let (head, body) = req.into_parts();
     let Some(table) = shared.table() else {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use hyper::{Request, StatusCode, body::Incoming};
+use hyper::{Request, StatusCode};
 use log::info;
 use tokio::{net::TcpListener, task::JoinHandle, time};
 
@@ -100,13 +100,13 @@
     let limits = HeaderLimits { read_timeout: IDLE_TIMEOUT, max_header_bytes: MAX_HEADER_BYTES };
     let handler = {
         let shared = shared.clone();
-        move |req: Request<Incoming>| forward::handle(shared.clone(), req)
+        move |req: Request<http::RequestBody>| forward::handle(shared.clone(), req)
     };
     let server =
         tokio::spawn(http::serve_with_limits(listeners.callers, handler, stopped.clone(), limits));
     let bootstrap = {
         let shared = shared.clone();
-        move |req: Request<Incoming>| bootstrap::handle(shared.clone(), req)
+        move |req: Request<http::RequestBody>| bootstrap::handle(shared.clone(), req)
     };
     tokio::spawn(http::serve(listeners.bootstrap, bootstrap, stopped.clone()));
     tokio::spawn(http::serve(listeners.ready, ready_handler(shared.clone()), stopped));
@@ -115,8 +115,8 @@
 
 fn ready_handler(
     shared: Arc<SharedState>,
-) -> impl Fn(Request<Incoming>) -> std::future::Ready<Result<http::Reply, http::ReplyAborted>> + Clone
-{
+) -> impl Fn(Request<http::RequestBody>) -> std::future::Ready<Result<http::Reply, http::ReplyAborted>>
++ Clone {
     move |req| {
         let path_exists = req.uri().path() == READY_PATH;
         std::future::ready(Ok(match (path_exists, shared.is_ready()) {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     errors::{Code, Refusal},
-    http::{ReplyAborted, ReplyBody},
+    http::{ReplyAborted, ReplyBody, RequestBody},
 };
 
 /// A response of the server.
@@ -49,7 +49,7 @@
 /// Errors of a single connection don't end the server.
 pub async fn serve<H, F>(listener: TcpListener, handler: H, stop: Stop)
 where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<RequestBody>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Reply, ReplyAborted>> + Send + 'static,
 {
     serve_with_limits(listener, handler, stop, HeaderLimits::default()).await;
@@ -77,7 +77,7 @@
     mut stop: Stop,
     limits: HeaderLimits,
 ) where
-    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    H: Fn(Request<RequestBody>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Reply, ReplyAborted>> + Send + 'static,
 {
     let mut builder = Builder::new(TokioExecutor::new());
@@ -98,7 +98,8 @@
         // Otherwise small chunks such as single tokens may be held back for a full segment.
         let _: io::Result<()> = socket.set_nodelay(true);
         let handler = handler.clone();
-        let service = service_fn(move |mut req: Request<Incoming>| {
+        let service = service_fn(move |req: Request<Incoming>| {
+            let mut req = req.map(RequestBody::from);
             req.extensions_mut().insert(ClientAddress(client));
             handler(req)
         });
--- a/tests/engine_agent.rs
+++ b/tests/engine_agent.rs
@@ -16,7 +16,7 @@
     http,
     platform::{CONFIGURATION, Store},
 };
-use hyper::{Request, StatusCode, body::Incoming};
+use hyper::{Request, StatusCode};
 use serde_json::json;
 use tokio::{net::TcpListener, time};
 
@@ -32,7 +32,7 @@
 }
 
 impl FakeEngine {
-    async fn answer(&self, req: Request<Incoming>) -> http::Reply {
+    async fn answer(&self, req: Request<http::RequestBody>) -> http::Reply {
         if req.uri().path() == "/-/report" {
             let number = self.reports.fetch_add(1, Ordering::SeqCst);
             let active = if self.load_changes.load(Ordering::SeqCst) { number % 50 } else { 0 };
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crashing_requests;
 mod drain;
 mod explained;
+mod refused_bodies;
 mod requests;
 mod retries;
 mod scripted_endpoint;
