Say why a request has no further attempt

The refusal after a failed attempt named only the failure, so that neither the log line no_attempt nor the caller's refusal told whether the endpoints were full, the retry budget was spent or the request was suspected of crashes. The message now ends with that reason.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -184,8 +184,7 @@
             let (endpoint, address) = match choice {
                 EndpointChoice::Endpoint { endpoint, address } => (endpoint, address),
                 EndpointChoice::Refused(reason, delay) => {
-                    let refusal = refusals::for_reason(reason, delay);
-                    return Err(if self.runs == 0 { refusal } else { self.endpoint_failed() });
+                    return Err(self.no_further_attempt(refusals::for_reason(reason, delay)));
                 }
             };
             if self.deadline <= Instant::now() {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -200,13 +200,20 @@
         Refusal::new(Code::EndpointFailed, "the endpoint failed while the request ran")
     }
 
-    /// The refusal when the shared retry budget allows no further send.
-    pub(super) fn retry_budget_exhausted(&self) -> Refusal {
+    /// The refusal when there is no further attempt: `refusal` if the request has not run.
+    pub(super) fn no_further_attempt(&self, refusal: Refusal) -> Refusal {
         if self.runs == 0 {
-            let text = "the retry budget allows no further attempt now";
-            return Refusal::new(Code::QueueFull, text).retry_after(Duration::from_secs(1));
+            return refusal;
         }
-        self.endpoint_failed()
+        let text = format!("the endpoint failed while the request ran; {}", refusal.message);
+        Refusal::new(Code::EndpointFailed, text)
+    }
+
+    /// The refusal when the shared retry budget allows no further send.
+    pub(super) fn retry_budget_exhausted(&self) -> Refusal {
+        let text = "the retry budget allows no further attempt now";
+        let refusal = Refusal::new(Code::QueueFull, text).retry_after(Duration::from_secs(1));
+        self.no_further_attempt(refusal)
     }
 
     /// The refusal when the deadline passes before an endpoint responds.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -139,17 +139,13 @@
         let mut state = self.shared.lock();
         state.gate.history_mut().record_refusal(Instant::now(), self.fingerprint);
         drop(state);
-        match self.runs {
-            0 => Refusal::new(Code::Quarantined, "the request crashed endpoints"),
-            _ => self.endpoint_failed(),
-        }
+        let refusal = Refusal::new(Code::Quarantined, "the request crashed endpoints");
+        self.no_further_attempt(refusal)
     }
 
     fn no_permit(&self) -> Refusal {
-        if self.runs != 0 {
-            return self.endpoint_failed();
-        }
         let text = "the request may have crashed endpoints and another run of it has not ended";
-        Refusal::new(Code::QueueFull, text).retry_after(MAX_PERMIT_WAIT)
+        let refusal = Refusal::new(Code::QueueFull, text).retry_after(MAX_PERMIT_WAIT);
+        self.no_further_attempt(refusal)
     }
 }
