Failing tests: answers that are lost beside a second attempt, and by panics

What callers see: beside a silent endpoint, a stream is aborted or a request gets 502, 500 or 504 although one of the endpoints serves it. Four more ways out of a request without a usable answer: two panics, TCP_USER_TIMEOUT on a body that is read late, and a refusal whose connection is reset.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crashing_requests;
 mod drain;
 mod explained;
+mod lost_answers;
 mod requests;
 mod retries;
 mod scripted_endpoint;
