Skeleton of the interface for segments that crash engines

RunGate takes the segments of a prompt, and reports name a Suspect: a whole request or a segment. The gateway passes no segments yet and exchanges reports on requests only. Bodies of SegmentHistory are provisional.

--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -22,5 +22,7 @@
 pub type Mib = u64;
 /// Hash of what stays the same when a caller sends a request again.
 pub type Fingerprint = u64;
+/// Id of a segment of a prompt. Requests may share segments.
+pub type SegmentId = u64;
 /// Identifies the crash of one start of an endpoint.
 pub type CrashId = u64;
--- a/src/core/quarantine/crash_history.rs
+++ b/src/core/quarantine/crash_history.rs
@@ -10,7 +10,10 @@
     time::{Duration, Instant},
 };
 
-use crate::core::ids::{CrashId, Fingerprint};
+use crate::core::{
+    ids::{CrashId, Fingerprint},
+    quarantine::{CrashReport, Suspect},
+};
 
 /// How long a request without news is remembered. A request that is sent again at
 /// intervals below this stays quarantined.
@@ -43,19 +46,8 @@
     Quarantined,
 }
 
-/// What a process knows of one request, for other processes.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct CrashReport {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// Crashes that it may have caused.
-    pub crashes: Vec<CrashId>,
-    /// Crashes that a complete run of it has cleared.
-    pub cleared: Vec<CrashId>,
-}
-
 #[derive(Clone, Debug)]
-struct Suspect {
+struct RequestRecord {
     crashes: Vec<CrashId>,
     cleared: Vec<CrashId>,
     last_crash: Instant,
@@ -86,7 +78,7 @@
 #[derive(Clone, Debug)]
 pub struct CrashHistory {
     limit: usize,
-    suspects: HashMap<Fingerprint, Suspect>,
+    suspects: HashMap<Fingerprint, RequestRecord>,
 }
 
 impl CrashHistory {
@@ -123,7 +115,8 @@
     /// Records a crash of an endpoint while the request ran there. Returns whether it was
     /// not known.
     pub fn record_crash(&mut self, now: Instant, fingerprint: Fingerprint, crash: CrashId) -> bool {
-        self.merge_own(now, &CrashReport { fingerprint, crashes: vec![crash], cleared: Vec::new() })
+        let suspect = Suspect::Request(fingerprint);
+        self.merge_own(now, &CrashReport { suspect, crashes: vec![crash], cleared: Vec::new() })
     }
 
     /// Clears crashes after a complete run that started when they were known. Returns
@@ -139,17 +132,19 @@
             return 0;
         }
         let cleared = known_at_start.to_vec();
-        self.merge_own(now, &CrashReport { fingerprint, crashes: Vec::new(), cleared });
+        let suspect = Suspect::Request(fingerprint);
+        self.merge_own(now, &CrashReport { suspect, crashes: Vec::new(), cleared });
         before - self.crashes(fingerprint)
     }
 
-    /// Merges the report of another process. Returns whether it contained news.
+    /// Merges the report of another process on a request. Returns whether it contained news.
     pub fn merge(&mut self, now: Instant, report: &CrashReport) -> bool {
+        let Suspect::Request(fingerprint) = report.suspect else { return false };
         if report.crashes.is_empty() && report.cleared.is_empty() {
             return false;
         }
-        self.make_room(now, report.fingerprint);
-        let suspect = self.suspects.entry(report.fingerprint).or_insert_with(|| Suspect {
+        self.make_room(now, fingerprint);
+        let suspect = self.suspects.entry(fingerprint).or_insert_with(|| RequestRecord {
             crashes: Vec::new(),
             cleared: Vec::new(),
             last_crash: now,
@@ -195,7 +190,7 @@
     pub fn report(&self, fingerprint: Fingerprint) -> Option<CrashReport> {
         let suspect = self.suspects.get(&fingerprint)?;
         let (crashes, cleared) = (suspect.crashes.clone(), suspect.cleared.clone());
-        Some(CrashReport { fingerprint, crashes, cleared })
+        Some(CrashReport { suspect: Suspect::Request(fingerprint), crashes, cleared })
     }
 
     /// Reports on the requests that `is_due` selects by fingerprint, number of crashes and
@@ -206,7 +201,7 @@
         is_due: impl Fn(Fingerprint, usize, Option<Instant>) -> bool,
     ) -> Vec<CrashReport> {
         let due = self.suspects.iter().filter(|(f, s)| is_due(**f, s.crashes.len(), s.seen_here));
-        let mut due: Vec<(Fingerprint, &Suspect)> = due.map(|(f, s)| (*f, s)).collect();
+        let mut due: Vec<(Fingerprint, &RequestRecord)> = due.map(|(f, s)| (*f, s)).collect();
         due.sort_by_key(|(f, s)| (Reverse(s.crashes.len()), Reverse(s.last_news), *f));
         due.into_iter().filter_map(|(f, _)| self.report(f)).collect()
     }
@@ -239,14 +234,15 @@
 
     fn merge_own(&mut self, now: Instant, report: &CrashReport) -> bool {
         let changed = self.merge(now, report);
-        if let Some(suspect) = self.suspects.get_mut(&report.fingerprint).filter(|_| changed) {
+        let fingerprint = report.suspect.request().filter(|_| changed);
+        if let Some(suspect) = fingerprint.and_then(|f| self.suspects.get_mut(&f)) {
             suspect.seen_here = Some(now);
         }
         changed
     }
 
-    fn unexplained_by_others(&self, now: Instant, suspect: &Suspect) -> usize {
-        let likelier: Vec<&Suspect> = self
+    fn unexplained_by_others(&self, now: Instant, suspect: &RequestRecord) -> usize {
+        let likelier: Vec<&RequestRecord> = self
             .suspects
             .values()
             .filter(|s| self.limit.max(suspect.crashes.len() + 1) <= s.crashes.len())
@@ -257,8 +253,8 @@
     }
 
     /// Ranks of the other requests with at least as many crashes, of which they share one.
-    fn rivals(&self, fingerprint: Fingerprint, suspect: &Suspect) -> Vec<Rank> {
-        let is_rival = |other: &Suspect| {
+    fn rivals(&self, fingerprint: Fingerprint, suspect: &RequestRecord) -> Vec<Rank> {
+        let is_rival = |other: &RequestRecord| {
             suspect.crashes.len() <= other.crashes.len()
                 && suspect.crashes.iter().any(|c| other.crashes.contains(c))
         };
@@ -283,7 +279,7 @@
 /// Order in which requests run that may have caused the same crashes.
 type Rank = (Reverse<usize>, Fingerprint);
 
-impl Suspect {
+impl RequestRecord {
     fn rank(&self, fingerprint: Fingerprint) -> Rank {
         (Reverse(self.crashes.len()), fingerprint)
     }
--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -2,8 +2,14 @@
 
 mod crash_history;
 mod registry;
+mod run;
 mod run_gate;
+mod segment_history;
+mod suspect;
 
-pub use crash_history::{CrashHistory, CrashReport, Verdict};
+pub use crash_history::{CrashHistory, Verdict};
 pub use registry::{AttemptEnd, Permit, QuarantineRegistry};
-pub use run_gate::{RunEnd, RunGate, RunId, RunOutcome, RunPermit};
+pub use run::{RunEnd, RunId, RunOutcome, RunPermit};
+pub use run_gate::RunGate;
+pub use segment_history::SegmentHistory;
+pub use suspect::{CrashReport, Suspect};
--- a/src/core/quarantine/run_gate.rs
+++ b/src/core/quarantine/run_gate.rs
@@ -7,71 +7,14 @@
 };
 
 use crate::core::{
-    ids::{CrashId, Fingerprint},
-    quarantine::{CrashHistory, CrashReport, Verdict},
+    ids::{CrashId, Fingerprint, SegmentId},
+    quarantine::{
+        CrashHistory, CrashReport, RunEnd, RunId, RunOutcome, RunPermit, SegmentHistory, Suspect,
+        Verdict,
+        run::{Run, RunState},
+    },
 };
 
-/// Identifies a run within a process.
-pub type RunId = u64;
-
-/// How long a run is remembered after its caller has left, or after its endpoint was found
-/// alive. Within this time a registration shows whether the endpoint has restarted.
-const REMEMBERED_FOR: Duration = Duration::from_secs(3);
-
-/// Whether a run may start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunPermit {
-    /// It may start.
-    Allowed,
-    /// Not before another run has ended or a possible crash is confirmed or ruled out.
-    Wait,
-    /// It must not start: the request crashed too many endpoints.
-    Quarantined,
-}
-
-/// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunEnd {
-    /// The response is complete.
-    Completed,
-    /// The endpoint answered that it did not run the request or that it failed.
-    Failed,
-    /// The connection broke or the endpoint fell silent, perhaps because it crashed.
-    Interrupted,
-    /// The caller has left.
-    Abandoned,
-}
-
-/// What follows from the end of a run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RunOutcome {
-    /// Whether the endpoint has to be checked for a crash.
-    pub needs_check: bool,
-    /// Number of earlier crashes that no longer count against the request.
-    pub cleared: usize,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RunState {
-    Starting,
-    Responding,
-    // Its endpoint is being checked.
-    Interrupted,
-    // Its caller has left, or its endpoint was found alive.
-    Ended { since: Instant },
-}
-
-#[derive(Clone, Debug)]
-struct Run {
-    fingerprint: Fingerprint,
-    // The crash that the endpoint would suffer.
-    crash: CrashId,
-    known_crashes: Vec<CrashId>,
-    // One more crash would quarantine the request.
-    last_chance: bool,
-    state: RunState,
-}
-
 /// Decides which runs may start, from the crashes of all processes and the runs of this
 /// one.
 ///
@@ -82,21 +25,22 @@
 ///
 /// ```
 /// use std::time::{Duration, Instant};
-/// use goldcrestpitch::core::quarantine::{RunEnd, RunGate, RunPermit};
+/// use goldcrestpitch::core::quarantine::{RunEnd, RunGate, RunPermit, Suspect};
 /// let mut now = Instant::now();
-/// let mut gate = RunGate::new(2);
+/// let mut gate = RunGate::new(2, 5);
 /// for crash in [100, 200] {
-///     let run = gate.start(now, 7, crash).unwrap();
+///     let run = gate.start(now, 7, &[], crash).unwrap();
 ///     assert!(gate.end(now, run, RunEnd::Interrupted).needs_check);
 ///     let checked = gate.unresolved(now, crash);
-///     assert_eq!(gate.resolve(now, crash, &checked, true), [7]);
+///     assert_eq!(gate.resolve(now, crash, &checked, true), [Suspect::Request(7)]);
 ///     now += Duration::from_secs(1);
 /// }
-/// assert_eq!(gate.permit(now, 7), RunPermit::Quarantined);
+/// assert_eq!(gate.permit(now, 7, &[]), RunPermit::Quarantined);
 /// ```
 #[derive(Clone, Debug)]
 pub struct RunGate {
     history: CrashHistory,
+    segments: SegmentHistory,
     runs: HashMap<RunId, Run>,
     next_run: RunId,
     // Position of this process among the live ones, and their number.
@@ -104,10 +48,12 @@
 }
 
 impl RunGate {
-    /// Quarantines requests after `limit` crashes.
-    pub fn new(limit: usize) -> Self {
+    /// Quarantines requests after `limit` crashes, and those with a segment that explains
+    /// `segment_limit` crashes.
+    pub fn new(limit: usize, segment_limit: usize) -> Self {
         Self {
             history: CrashHistory::new(limit),
+            segments: SegmentHistory::new(segment_limit),
             runs: HashMap::new(),
             next_run: 0,
             position: (0, 1),
@@ -131,24 +77,66 @@
     }
 
     /// Reports to repeat to the other processes: of crashes seen here within `repeat_for`,
-    /// and of requests with at least `min_crashes` that this process reports for all.
+    /// and of suspects with at least `min_crashes` that this process reports for all.
     pub fn recent_reports(
         &self,
         now: Instant,
         repeat_for: Duration,
         min_crashes: usize,
     ) -> Vec<CrashReport> {
-        self.history.reports(|fingerprint, crashes, seen_here| {
+        self.reports(|id, crashes, seen_here| {
             seen_here.is_some_and(|at| now < at + repeat_for)
-                || (min_crashes <= crashes && self.owns(fingerprint))
+                || (min_crashes <= crashes && self.owns(id))
         })
     }
 
     /// Reports for a process that may have missed any: of crashes seen here, and of the
-    /// requests that this process reports for all.
+    /// suspects that this process reports for all.
     pub fn all_reports(&self) -> Vec<CrashReport> {
-        self.history
-            .reports(|fingerprint, _, seen_here| seen_here.is_some() || self.owns(fingerprint))
+        self.reports(|id, _, seen_here| seen_here.is_some() || self.owns(id))
+    }
+
+    /// The report on one suspect.
+    pub fn report(&self, suspect: Suspect) -> Option<CrashReport> {
+        match suspect {
+            Suspect::Request(fingerprint) => self.history.report(fingerprint),
+            Suspect::Segment(segment) => self.segments.report(segment),
+        }
+    }
+
+    /// Merges the report of another process. Returns whether it contained news.
+    pub fn merge(&mut self, now: Instant, report: &CrashReport) -> bool {
+        match report.suspect {
+            Suspect::Request(_) => self.history.merge(now, report),
+            Suspect::Segment(_) => self.segments.merge(now, report),
+        }
+    }
+
+    /// Number of crashes that the suspect may have caused.
+    pub fn crashes(&self, suspect: Suspect) -> usize {
+        match suspect {
+            Suspect::Request(fingerprint) => self.history.crashes(fingerprint),
+            Suspect::Segment(segment) => self.segments.crashes(segment),
+        }
+    }
+
+    /// Keeps a refused request and its segments from being forgotten while such requests
+    /// come again and again.
+    pub fn record_refusal(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        segments: &[SegmentId],
+    ) {
+        self.history.record_refusal(now, fingerprint);
+        for segment in segments {
+            self.segments.record_refusal(now, *segment);
+        }
+    }
+
+    /// Number of requests and segments that are quarantined.
+    pub fn quarantined(&self, now: Instant) -> usize {
+        self.history.quarantined(now) + self.segments.blamed()
     }
 
     /// Number of runs that have not ended or are not resolved.
@@ -161,8 +149,17 @@
         self.runs.is_empty()
     }
 
-    /// Whether a run of the request may start.
-    pub fn permit(&self, now: Instant, fingerprint: Fingerprint) -> RunPermit {
+    /// Whether a run of the request may start, whose prompt has these segments beside the
+    /// last.
+    pub fn permit(
+        &self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        segments: &[SegmentId],
+    ) -> RunPermit {
+        if segments.iter().any(|s| self.segments.is_blamed(*s)) {
+            return RunPermit::Quarantined;
+        }
         match self.history.verdict(now, fingerprint) {
             Verdict::Quarantined => return RunPermit::Quarantined,
             Verdict::Undecided => return RunPermit::Wait,
@@ -197,9 +194,10 @@
         &mut self,
         now: Instant,
         fingerprint: Fingerprint,
+        segments: &[SegmentId],
         crash: CrashId,
     ) -> Result<RunId, RunPermit> {
-        let permit = self.permit(now, fingerprint);
+        let permit = self.permit(now, fingerprint, segments);
         if permit != RunPermit::Allowed {
             return Err(permit);
         }
@@ -207,6 +205,7 @@
         let run = Run {
             fingerprint,
             crash,
+            segments: segments.to_vec(),
             known_crashes: self.history.crash_ids(fingerprint),
             last_chance: self.is_last_chance(now, fingerprint),
             state: RunState::Starting,
@@ -216,7 +215,7 @@
     }
 
     /// Records the first part of the response.
-    pub fn record_response(&mut self, run: RunId) {
+    pub fn record_response(&mut self, _now: Instant, run: RunId) {
         if let Some(run) = self.runs.get_mut(&run) {
             run.state = RunState::Responding;
         }
@@ -227,17 +226,18 @@
         let Some(run) = self.runs.get_mut(&id) else { return RunOutcome::default() };
         let was_suspect = !run.known_crashes.is_empty();
         match end {
-            RunEnd::Interrupted => run.state = RunState::Interrupted,
+            RunEnd::Interrupted | RunEnd::Unconfirmed => run.state = RunState::Interrupted,
             // A caller of a suspect request may leave because the endpoint crashed.
             RunEnd::Abandoned if was_suspect => run.state = RunState::Interrupted,
             RunEnd::Abandoned => run.state = RunState::Ended { since: now },
             RunEnd::Completed | RunEnd::Failed => {
                 let Some(run) = self.runs.remove(&id) else { return RunOutcome::default() };
-                let cleared = if end == RunEnd::Completed { self.clear(now, run) } else { 0 };
+                let cleared =
+                    if end == RunEnd::Completed { self.clear(now, run) } else { Vec::new() };
                 return RunOutcome { needs_check: false, cleared };
             }
         }
-        RunOutcome { needs_check: run.state == RunState::Interrupted, cleared: 0 }
+        RunOutcome { needs_check: run.state == RunState::Interrupted, cleared: Vec::new() }
     }
 
     /// Runs that ended in a way that a crash would explain.
@@ -253,21 +253,27 @@
     }
 
     /// Records the result of a check that started after the runs in `checked` had ended.
-    /// Returns the requests against which the crash was counted.
+    /// Returns the suspects against which the crash was counted.
     pub fn resolve(
         &mut self,
         now: Instant,
         crash: CrashId,
         checked: &[RunId],
         crashed: bool,
-    ) -> Vec<Fingerprint> {
+    ) -> Vec<Suspect> {
         let mut counted = Vec::new();
         if crashed {
             let ran = self.runs.values().filter(|r| r.crash == crash && !r.is_forgotten(now));
-            let ran: Vec<Fingerprint> = ran.map(|r| r.fingerprint).collect();
-            for fingerprint in ran {
+            let ran: Vec<(Fingerprint, Vec<SegmentId>)> =
+                ran.map(|r| (r.fingerprint, r.segments.clone())).collect();
+            for (fingerprint, segments) in ran {
+                for segment in segments {
+                    if self.segments.record_crash(now, segment, crash) {
+                        counted.push(Suspect::Segment(segment));
+                    }
+                }
                 if self.history.record_crash(now, fingerprint, crash) {
-                    counted.push(fingerprint);
+                    counted.push(Suspect::Request(fingerprint));
                 }
             }
         }
@@ -283,16 +289,24 @@
         counted
     }
 
-    /// Forgets requests without news and runs that ended long ago. Returns the forgotten
-    /// requests.
-    pub fn expire(&mut self, now: Instant) -> Vec<Fingerprint> {
+    /// Forgets suspects without news and runs that ended long ago. Returns the forgotten
+    /// suspects.
+    pub fn expire(&mut self, now: Instant) -> Vec<Suspect> {
         self.runs.retain(|_, r| !r.is_forgotten(now));
-        self.history.expire(now)
+        let requests = self.history.expire(now).into_iter().map(Suspect::Request);
+        let segments = self.segments.expire(now).into_iter().map(Suspect::Segment);
+        requests.chain(segments).collect()
     }
 
-    fn owns(&self, fingerprint: Fingerprint) -> bool {
+    fn reports(&self, is_due: impl Fn(u64, usize, Option<Instant>) -> bool) -> Vec<CrashReport> {
+        let mut reports = self.segments.reports(&is_due);
+        reports.extend(self.history.reports(&is_due));
+        reports
+    }
+
+    fn owns(&self, id: u64) -> bool {
         let (position, count) = self.position;
-        fingerprint % count as u64 == position as u64
+        id % count as u64 == position as u64
     }
 
     /// Possible crashes during interrupted runs of the request.
@@ -322,21 +336,14 @@
 
     /// A complete run proves that the request need not crash an endpoint, and that this
     /// endpoint did not crash.
-    fn clear(&mut self, now: Instant, run: Run) -> usize {
+    fn clear(&mut self, now: Instant, run: Run) -> Vec<Suspect> {
         let mut known = run.known_crashes;
         if self.history.crash_ids(run.fingerprint).contains(&run.crash) {
             known.push(run.crash);
         }
-        self.history.record_completed(now, run.fingerprint, &known)
-    }
-}
-
-impl Run {
-    fn is_active(&self) -> bool {
-        matches!(self.state, RunState::Starting | RunState::Responding)
-    }
-
-    fn is_forgotten(&self, now: Instant) -> bool {
-        matches!(self.state, RunState::Ended { since } if since + REMEMBERED_FOR <= now)
+        match self.history.record_completed(now, run.fingerprint, &known) {
+            0 => Vec::new(),
+            _ => vec![Suspect::Request(run.fingerprint)],
+        }
     }
 }
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -13,6 +13,7 @@
     core::{
         forwarding::{EndpointState, Registration},
         ids::{CrashId, Fingerprint},
+        quarantine::Suspect,
     },
     gateway::{
         run::{RunTarget, crash_id},
@@ -42,7 +43,7 @@
         let mut state = shared.lock();
         let crashed = state.has_crashed(&target, is_listening);
         let now = Instant::now();
-        let counted = state.gate.resolve(now, target.crash, &checked, crashed);
+        let counted = requests(state.gate.resolve(now, target.crash, &checked, crashed));
         if crashed {
             state.dispatcher.avoid(now, &target.endpoint);
             log_crash(&state, &target.endpoint, target.crash, &counted);
@@ -85,7 +86,7 @@
         let mut all_counted = Vec::new();
         for (endpoint, started_ms) in replaced {
             let crash = crash_id(&endpoint, started_ms);
-            let counted = self.gate.resolve(now, crash, &[], true);
+            let counted = requests(self.gate.resolve(now, crash, &[], true));
             if !counted.is_empty() {
                 log_crash(self, &endpoint, crash, &counted);
             }
@@ -95,6 +96,10 @@
     }
 }
 
+fn requests(suspects: Vec<Suspect>) -> Vec<Fingerprint> {
+    suspects.into_iter().filter_map(Suspect::request).collect()
+}
+
 fn log_crash(state: &State, endpoint: &str, crash: CrashId, counted: &[Fingerprint]) {
     warn!(
         "event=endpoint_crashed endpoint={endpoint} crash={crash:016x} suspects={}",
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -11,7 +11,7 @@
 use crate::{
     core::{
         ids::Fingerprint,
-        quarantine::{self, RunGate},
+        quarantine::{self, RunGate, Suspect},
     },
     gateway::shared::SharedState,
     gossip::{CrashReport, CrashReports},
@@ -74,10 +74,9 @@
     let mut state = shared.lock();
     for report in reports.reports {
         let fingerprint = report.fingerprint;
-        let history = state.gate.history_mut();
-        let before = history.crashes(fingerprint);
-        if history.merge(now, &report.into()) {
-            let crashes = history.crashes(fingerprint);
+        let before = state.gate.crashes(Suspect::Request(fingerprint));
+        if state.gate.merge(now, &report.into()) {
+            let crashes = state.gate.crashes(Suspect::Request(fingerprint));
             info!(
                 "event=suspect_learned fingerprint={fingerprint:016x} crashes={crashes} \
                  before={before} from={from}"
@@ -107,7 +106,8 @@
 }
 
 fn datagrams(reports: Vec<quarantine::CrashReport>) -> Vec<CrashReports> {
-    let reports: Vec<CrashReport> = reports.into_iter().map(CrashReport::from).collect();
+    let reports: Vec<CrashReport> =
+        reports.into_iter().filter_map(CrashReport::of_request).collect();
     let chunks = reports.chunks(MAX_REPORTS_PER_DATAGRAM).take(MAX_DATAGRAMS);
     chunks.map(|c| CrashReports { reports: c.to_vec() }).collect()
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,6 +19,7 @@
     core::{
         forwarding::{Endpoint, EndpointSubset, LoadReport, Locality, ModelRef, WantedAdapter},
         ids::EndpointId,
+        quarantine::Suspect,
     },
     gateway::{
         crash_reports::{self, CrashReporter},
@@ -247,7 +248,8 @@
         state.dispatcher.set_subset(EndpointSubset::new(position, count));
         state.gate.set_position(position, count);
         // One gateway deletes what all have forgotten.
-        let mut forgotten = state.gate.expire(now);
+        let forgotten = state.gate.expire(now).into_iter().filter_map(Suspect::request);
+        let mut forgotten: Vec<_> = forgotten.collect();
         forgotten.retain(|f| position == 0 && state.record_change(*f));
         if !forgotten.is_empty() {
             shared.report_unsaved.notify_one();
--- a/src/gateway/quarantine_store.rs
+++ b/src/gateway/quarantine_store.rs
@@ -50,7 +50,7 @@
             match CrashReport::decode(value) {
                 Ok(report) => {
                     let crashes = report.crashes.len();
-                    if state.gate.history_mut().merge(now, &report.into()) {
+                    if state.gate.merge(now, &report.into()) {
                         info!(
                             "event=suspect_learned fingerprint={fingerprint:016x} \
                              crashes={crashes} before=- from=store"
@@ -119,7 +119,9 @@
     /// The record to keep in the store; `None` if there must be none.
     fn report_to_save(&self, fingerprint: Fingerprint) -> Option<CrashReport> {
         let report = self.gate.history().report(fingerprint)?;
-        (MIN_SAVED_CRASHES <= report.crashes.len()).then(|| report.into())
+        (MIN_SAVED_CRASHES <= report.crashes.len())
+            .then_some(report)
+            .and_then(CrashReport::of_request)
     }
 }
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -13,7 +13,7 @@
     core::{
         hash,
         ids::{CrashId, EndpointId, Fingerprint},
-        quarantine::{RunEnd, RunId, RunPermit},
+        quarantine::{RunEnd, RunId, RunPermit, Suspect},
     },
     errors::{Code, Refusal},
     gateway::{crash_check, request::ProxiedRequest, shared::SharedState},
@@ -52,7 +52,7 @@
 impl RunGuard {
     /// Records the first part of the response.
     pub(super) fn record_response(&self) {
-        self.shared.lock().gate.record_response(self.run);
+        self.shared.lock().gate.record_response(Instant::now(), self.run);
         self.shared.runs_changed.notify_waiters();
     }
 
@@ -78,17 +78,20 @@
         let now = Instant::now();
         let mut state = self.shared.lock();
         let age = state.gate.history().age(now, self.fingerprint).unwrap_or_default();
+        let crashes = state.gate.crashes(Suspect::Request(self.fingerprint));
         let ended = state.gate.end(now, self.run, end);
+        let left = state.gate.crashes(Suspect::Request(self.fingerprint));
         drop(state);
-        if ended.cleared != 0 {
+        let cleared: Vec<_> = ended.cleared.into_iter().filter_map(Suspect::request).collect();
+        if !cleared.is_empty() {
             info!(
                 "event=suspect_cleared fingerprint={:016x} crashes={} age_ms={} endpoint={}",
                 self.fingerprint,
-                ended.cleared,
+                crashes - left,
                 age.as_millis(),
                 self.target.endpoint,
             );
-            self.shared.publish_crashes(&[self.fingerprint]);
+            self.shared.publish_crashes(&cleared);
         }
         if ended.needs_check {
             crash_check::start(&self.shared, &self.target);
@@ -113,7 +116,7 @@
         loop {
             let changed = self.shared.runs_changed.notified();
             let now = Instant::now();
-            let permit = self.shared.lock().gate.permit(now, self.fingerprint);
+            let permit = self.shared.lock().gate.permit(now, self.fingerprint, &[]);
             match permit {
                 RunPermit::Allowed => return Ok(()),
                 RunPermit::Quarantined => return Err(self.quarantined()),
@@ -129,7 +132,7 @@
     pub(super) fn start_run(&self, endpoint: &EndpointId, address: SocketAddr) -> Option<RunGuard> {
         let mut state = self.shared.lock();
         let target = state.run_target(endpoint, address);
-        let run = state.gate.start(Instant::now(), self.fingerprint, target.crash).ok()?;
+        let run = state.gate.start(Instant::now(), self.fingerprint, &[], target.crash).ok()?;
         drop(state);
         let (shared, fingerprint) = (self.shared.clone(), self.fingerprint);
         Some(RunGuard { shared, run, target, fingerprint, ended: false })
@@ -137,7 +140,7 @@
 
     fn quarantined(&self) -> Refusal {
         let mut state = self.shared.lock();
-        state.gate.history_mut().record_refusal(Instant::now(), self.fingerprint);
+        state.gate.record_refusal(Instant::now(), self.fingerprint, &[]);
         drop(state);
         match self.runs {
             0 => Refusal::new(Code::Quarantined, "the request crashed endpoints"),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -45,6 +45,9 @@
 /// Crashes of endpoints after which a request must no longer be run, by the platform's
 /// rules.
 const MAX_CRASHES: usize = 3;
+/// Crashes of endpoints after which requests with a segment must no longer be run, by the
+/// platform's rules.
+const MAX_SEGMENT_CRASHES: usize = 5;
 
 #[derive(Debug)]
 pub(super) struct State {
@@ -112,7 +115,7 @@
             table: None,
             registry: EndpointRegistry::default(),
             dispatcher: Dispatcher::new(locality, seed),
-            gate: RunGate::new(MAX_CRASHES),
+            gate: RunGate::new(MAX_CRASHES, MAX_SEGMENT_CRASHES),
             demand: DemandMeter::new(),
             cache: StoreCache::default(),
             retry_budgets: HashMap::new(),
@@ -184,7 +187,7 @@
 
     /// Number of requests that are quarantined because they crashed endpoints.
     pub fn quarantined_requests(&self) -> usize {
-        self.lock().gate.history().quarantined(Instant::now())
+        self.lock().gate.quarantined(Instant::now())
     }
 
     /// Number of crashes counted against all requests.
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -292,17 +292,18 @@
     pub cleared: Vec<u64>,
 }
 
-impl From<quarantine::CrashReport> for CrashReport {
-    fn from(report: quarantine::CrashReport) -> Self {
-        let quarantine::CrashReport { fingerprint, crashes, cleared } = report;
-        Self { fingerprint, crashes, cleared }
+impl CrashReport {
+    /// The report on a request; `None` if the suspect is of another kind.
+    pub fn of_request(report: quarantine::CrashReport) -> Option<Self> {
+        let quarantine::CrashReport { suspect, crashes, cleared } = report;
+        Some(Self { fingerprint: suspect.request()?, crashes, cleared })
     }
 }
 
 impl From<CrashReport> for quarantine::CrashReport {
     fn from(report: CrashReport) -> Self {
         let CrashReport { fingerprint, crashes, cleared } = report;
-        Self { fingerprint, crashes, cleared }
+        Self { suspect: quarantine::Suspect::Request(fingerprint), crashes, cleared }
     }
 }
 
--- a/tests/crashing_fleet.rs
+++ b/tests/crashing_fleet.rs
@@ -9,9 +9,11 @@
     time::{Duration, Instant},
 };
 
-use goldcrestpitch::core::quarantine::{CrashReport, RunEnd, RunGate, RunId, RunPermit};
+use goldcrestpitch::core::quarantine::{CrashReport, RunEnd, RunGate, RunId, RunPermit, Suspect};
 
 const LIMIT: usize = 3;
+/// No request of these schedules has segments.
+const SEGMENT_LIMIT: usize = 5;
 const SCHEDULES: u64 = 10_000;
 const STEP_MS: u64 = 10;
 const LENGTH_MS: u64 = 14_000;
@@ -87,7 +89,7 @@
 impl Gateway {
     fn new() -> Self {
         Self {
-            gate: RunGate::new(LIMIT),
+            gate: RunGate::new(LIMIT, SEGMENT_LIMIT),
             runs: Vec::new(),
             checks: HashMap::new(),
             inbox: Vec::new(),
@@ -128,7 +130,7 @@
     endpoints: Vec<Endpoint>,
     // Requests that a gateway retries or whose caller sends them again, with the time.
     retries: Vec<(u64, usize, u64, u32)>,
-    stored: HashMap<u64, CrashReport>,
+    stored: HashMap<Suspect, CrashReport>,
     next_request: u64,
     progress_first: bool,
     outcome: Outcome,
@@ -240,7 +242,7 @@
         }
         let endpoint = self.rng.usize(..self.endpoints.len());
         let Endpoint { start, down_until } = self.endpoints[endpoint];
-        match self.gateways[gateway].gate.start(at, request, crash_id(endpoint, start)) {
+        match self.gateways[gateway].gate.start(at, request, &[], crash_id(endpoint, start)) {
             Err(RunPermit::Quarantined) => {
                 let settled =
                     self.outcome.crashes.last().is_none_or(|c| c + STABLE_WINDOW_MS < now);
@@ -319,7 +321,7 @@
             news |= !gateway.gate.resolve(at, crash_id(endpoint, start), &[], true).is_empty();
         }
         for (_, report) in gateway.inbox.extract_if(.., |m| m.0 <= now) {
-            gateway.gate.history_mut().merge(at, &report);
+            gateway.gate.merge(at, &report);
         }
         gateway.gate.expire(at);
         if news || gateway.next_broadcast <= now {
@@ -351,7 +353,7 @@
                 continue;
             }
             if run.end_at <= now && run.request != POISON {
-                news |= gateway.gate.end(at, run.id, RunEnd::Completed).cleared != 0;
+                news |= !gateway.gate.end(at, run.id, RunEnd::Completed).cleared.is_empty();
                 self.outcome.others_completed += 1;
                 continue;
             }
@@ -360,7 +362,7 @@
                 && !run.responded
                 && (run.request != POISON || self.progress_first)
             {
-                gateway.gate.record_response(run.id);
+                gateway.gate.record_response(at, run.id);
                 run.responded = true;
             }
             gateway.runs.push(run);
@@ -405,7 +407,7 @@
         let recent = gateway.gate.recent_reports(at, REPEAT_FOR, LIMIT - 1);
         let all = gateway.gate.all_reports();
         for report in recent.iter().filter(|r| news && LIMIT - 1 <= r.crashes.len()) {
-            self.stored.insert(report.fingerprint, report.clone());
+            self.stored.insert(report.suspect, report.clone());
         }
         if now < gateway.cut_until {
             return;
