Segments of prompts that crash engines: history, blame and trials

What callers would see: one segment that crashes engines ended an engine with each request, since no two requests are alike; sound requests beside the crashes were counted and waited. Cause: crashes were counted against whole requests only. Change: SegmentHistory counts a crash against the segments of runs that had just begun, a greedy explanation blames segments, and crashes that they explain no longer count against requests. Sound runs clear segments; a segment that was blamed wrongly is tried by its owner, at most twice within ten minutes. record_response may be called for each piece of data: only data that keeps coming shows that a run writes, not the time that passes.

--- /dev/null
+++ b/src/core/quarantine/blame.rs
@@ -0,0 +1,65 @@
+//! Which segments of prompts explain the crashes of endpoints.
+
+use std::{cmp::Reverse, collections::HashSet};
+
+use crate::core::ids::{CrashId, SegmentId};
+
+/// A segment that may have caused crashes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate<'a> {
+    segment: SegmentId,
+    crashes: &'a [CrashId],
+    // A run with it has been sound here before.
+    was_sound: bool,
+    // Recent runs with it here.
+    runs: u32,
+    // Crashes that no blamed segment explains.
+    unexplained: usize,
+}
+
+impl<'a> Candidate<'a> {
+    pub(super) fn new(
+        segment: SegmentId,
+        crashes: &'a [CrashId],
+        was_sound: bool,
+        runs: u32,
+    ) -> Self {
+        Self { segment, crashes, was_sound, runs, unexplained: crashes.len() }
+    }
+}
+
+/// Segments to which crashes are attributed.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Blame {
+    pub(super) segments: HashSet<SegmentId>,
+    /// Their crashes.
+    pub(super) explained: HashSet<CrashId>,
+}
+
+impl Blame {
+    /// Blames one segment after the other that has at least `limit` crashes which those
+    /// before do not explain: first those that were never sound, then those that explain
+    /// most, then those that run least.
+    pub(super) fn new(mut candidates: Vec<Candidate<'_>>, limit: usize) -> Self {
+        let mut blame = Self::default();
+        loop {
+            candidates.retain_mut(|c| {
+                c.unexplained = blame.unexplained(c);
+                limit <= c.unexplained
+            });
+            let likeliest = candidates
+                .iter()
+                .min_by_key(|c| (c.was_sound, Reverse(c.unexplained), c.runs, c.segment));
+            let Some(likeliest) = likeliest else { return blame };
+            blame.segments.insert(likeliest.segment);
+            blame.explained.extend(likeliest.crashes);
+        }
+    }
+
+    fn unexplained(&self, candidate: &Candidate<'_>) -> usize {
+        if self.explained.is_empty() {
+            return candidate.crashes.len();
+        }
+        candidate.crashes.iter().filter(|c| !self.explained.contains(c)).count()
+    }
+}
--- a/src/core/quarantine/crash_history.rs
+++ b/src/core/quarantine/crash_history.rs
@@ -6,13 +6,13 @@
 
 use std::{
     cmp::Reverse,
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
 use crate::core::{
     ids::{CrashId, Fingerprint},
-    quarantine::{CrashReport, Suspect},
+    quarantine::{CrashReport, Suspect, crash_set::CrashSet},
 };
 
 /// How long a request without news is remembered. A request that is sent again at
@@ -20,11 +20,8 @@
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 /// Most requests that are remembered. Those with the fewest crashes are dropped first.
 const MAX_REQUESTS: usize = 4096;
-/// Most crashes kept for a request. They also explain crashes of other requests.
+/// Most crashes kept for a request, and most cleared ones. They also explain crashes of other requests.
 const MAX_CRASHES: usize = 8;
-/// Most cleared crashes kept for a request, so that a peer's older report does not bring
-/// them back.
-const MAX_CLEARED: usize = 8;
 /// How long a request that has just reached the limit is undecided, since another process
 /// may report a second request that crashed the same endpoint: a check of the endpoint
 /// takes up to 600 ms, and the datagram follows.
@@ -48,8 +45,9 @@
 
 #[derive(Clone, Debug)]
 struct RequestRecord {
-    crashes: Vec<CrashId>,
-    cleared: Vec<CrashId>,
+    set: CrashSet,
+    // Crashes that no segment explains.
+    counted: Vec<CrashId>,
     last_crash: Instant,
     last_news: Instant,
     // When this process saw a crash or a complete run itself.
@@ -79,12 +77,14 @@
 pub struct CrashHistory {
     limit: usize,
     suspects: HashMap<Fingerprint, RequestRecord>,
+    // Crashes that segments of prompts explain.
+    explained: HashSet<CrashId>,
 }
 
 impl CrashHistory {
     /// Quarantines requests after `limit` crashes.
     pub fn new(limit: usize) -> Self {
-        Self { limit: limit.max(1), suspects: HashMap::new() }
+        Self { limit: limit.max(1), suspects: HashMap::new(), explained: HashSet::new() }
     }
 
     /// Crashes after which a request is quarantined.
@@ -92,19 +92,34 @@
         self.limit
     }
 
-    /// Number of crashes while the request ran that no likelier request explains.
+    /// Number of crashes while the request ran that neither a segment nor a likelier request
+    /// explains.
     pub fn unexplained(&self, now: Instant, fingerprint: Fingerprint) -> usize {
         self.suspects.get(&fingerprint).map_or(0, |s| self.unexplained_by_others(now, s))
     }
 
+    /// Sets the crashes that do not count against requests, since segments of prompts explain
+    /// them.
+    pub fn set_explained(&mut self, explained: HashSet<CrashId>) {
+        self.explained = explained;
+        for suspect in self.suspects.values_mut() {
+            suspect.count(&self.explained);
+        }
+    }
+
+    /// Number of crashes while the request ran that count against it.
+    pub fn counted(&self, fingerprint: Fingerprint) -> usize {
+        self.suspects.get(&fingerprint).map_or(0, |s| s.counted.len())
+    }
+
     /// Number of crashes while the request ran.
     pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
-        self.suspects.get(&fingerprint).map_or(0, |s| s.crashes.len())
+        self.suspects.get(&fingerprint).map_or(0, |s| s.set.len())
     }
 
     /// The crashes while the request ran.
     pub fn crash_ids(&self, fingerprint: Fingerprint) -> Vec<CrashId> {
-        self.suspects.get(&fingerprint).map_or_else(Vec::new, |s| s.crashes.clone())
+        self.suspects.get(&fingerprint).map_or_else(Vec::new, |s| s.set.crashes().to_vec())
     }
 
     /// Time since the last crash that was learned.
@@ -145,22 +160,29 @@
         }
         self.make_room(now, fingerprint);
         let suspect = self.suspects.entry(fingerprint).or_insert_with(|| RequestRecord {
-            crashes: Vec::new(),
-            cleared: Vec::new(),
+            set: CrashSet::new(MAX_CRASHES),
+            counted: Vec::new(),
             last_crash: now,
             last_news: now,
             seen_here: None,
         });
-        let changed = suspect.merge(now, report);
-        if changed {
+        let change = suspect.set.merge(&report.crashes, &report.cleared);
+        if 0 < change.added {
+            suspect.last_crash = now;
+        }
+        if change.any {
             suspect.last_news = now;
+            suspect.count(&self.explained);
         }
-        changed
+        change.any
     }
 
     /// Whether the request may run.
     pub fn verdict(&self, now: Instant, fingerprint: Fingerprint) -> Verdict {
         let Some(suspect) = self.suspects.get(&fingerprint) else { return Verdict::Allowed };
+        if suspect.counted.len() < self.limit {
+            return Verdict::Allowed;
+        }
         if self.unexplained_by_others(now, suspect) < self.limit || suspect.is_expired(now) {
             return Verdict::Allowed;
         }
@@ -189,20 +211,20 @@
     /// The report on one request.
     pub fn report(&self, fingerprint: Fingerprint) -> Option<CrashReport> {
         let suspect = self.suspects.get(&fingerprint)?;
-        let (crashes, cleared) = (suspect.crashes.clone(), suspect.cleared.clone());
+        let (crashes, cleared) = (suspect.set.crashes().to_vec(), suspect.set.cleared().to_vec());
         Some(CrashReport { suspect: Suspect::Request(fingerprint), crashes, cleared })
     }
 
-    /// Reports on the requests that `is_due` selects by fingerprint, number of crashes and
+    /// Reports on the requests that `is_due` selects by fingerprint, number of counted crashes and
     /// the time of the last crash or complete run that this process saw itself. Those with
-    /// the most crashes come first, then the latest.
+    /// the most counted crashes come first, then the latest.
     pub fn reports(
         &self,
         is_due: impl Fn(Fingerprint, usize, Option<Instant>) -> bool,
     ) -> Vec<CrashReport> {
-        let due = self.suspects.iter().filter(|(f, s)| is_due(**f, s.crashes.len(), s.seen_here));
+        let due = self.suspects.iter().filter(|(f, s)| is_due(**f, s.counted.len(), s.seen_here));
         let mut due: Vec<(Fingerprint, &RequestRecord)> = due.map(|(f, s)| (*f, s)).collect();
-        due.sort_by_key(|(f, s)| (Reverse(s.crashes.len()), Reverse(s.last_news), *f));
+        due.sort_by_key(|(f, s)| (Reverse(s.counted.len()), Reverse(s.last_news), *f));
         due.into_iter().filter_map(|(f, _)| self.report(f)).collect()
     }
 
@@ -245,18 +267,18 @@
         let likelier: Vec<&RequestRecord> = self
             .suspects
             .values()
-            .filter(|s| self.limit.max(suspect.crashes.len() + 1) <= s.crashes.len())
+            .filter(|s| self.limit.max(suspect.counted.len() + 1) <= s.counted.len())
             .filter(|s| s.is_settled(now))
             .collect();
-        let explained = |crash| likelier.iter().any(|s| s.crashes.contains(crash));
-        suspect.crashes.iter().filter(|crash| !explained(crash)).count()
+        let explained = |crash| likelier.iter().any(|s| s.counted.contains(crash));
+        suspect.counted.iter().filter(|crash| !explained(crash)).count()
     }
 
     /// Ranks of the other requests with at least as many crashes, of which they share one.
     fn rivals(&self, fingerprint: Fingerprint, suspect: &RequestRecord) -> Vec<Rank> {
         let is_rival = |other: &RequestRecord| {
-            suspect.crashes.len() <= other.crashes.len()
-                && suspect.crashes.iter().any(|c| other.crashes.contains(c))
+            suspect.counted.len() <= other.counted.len()
+                && suspect.counted.iter().any(|c| other.counted.contains(c))
         };
         let others = self.suspects.iter().filter(|(f, s)| **f != fingerprint && is_rival(s));
         others.map(|(f, s)| s.rank(*f)).collect()
@@ -267,7 +289,7 @@
             return;
         }
         self.expire(now);
-        let least = self.suspects.iter().min_by_key(|(_, s)| (s.crashes.len(), s.last_news));
+        let least = self.suspects.iter().min_by_key(|(_, s)| (s.counted.len(), s.last_news));
         if MAX_REQUESTS <= self.suspects.len()
             && let Some(least) = least.map(|(f, _)| *f)
         {
@@ -281,7 +303,7 @@
 
 impl RequestRecord {
     fn rank(&self, fingerprint: Fingerprint) -> Rank {
-        (Reverse(self.crashes.len()), fingerprint)
+        (Reverse(self.counted.len()), fingerprint)
     }
 
     fn is_settled(&self, now: Instant) -> bool {
@@ -292,25 +314,8 @@
         self.last_news + FORGET_AFTER <= now
     }
 
-    fn merge(&mut self, now: Instant, report: &CrashReport) -> bool {
-        let mut changed = false;
-        for cleared in &report.cleared {
-            if !self.cleared.contains(cleared) {
-                self.cleared.push(*cleared);
-                changed = true;
-            }
-        }
-        let surplus = self.cleared.len().saturating_sub(MAX_CLEARED);
-        let forgotten: Vec<CrashId> = self.cleared.drain(..surplus).collect();
-        self.crashes.retain(|c| !self.cleared.contains(c) && !forgotten.contains(c));
-        for crash in &report.crashes {
-            let known = self.crashes.contains(crash) || self.cleared.contains(crash);
-            if !known && !forgotten.contains(crash) && self.crashes.len() < MAX_CRASHES {
-                self.crashes.push(*crash);
-                self.last_crash = now;
-                changed = true;
-            }
-        }
-        changed
+    fn count(&mut self, explained: &HashSet<CrashId>) {
+        let crashes = self.set.crashes().iter().copied();
+        self.counted = crashes.filter(|c| !explained.contains(c)).collect();
     }
 }
--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -1,10 +1,14 @@
 //! Limits how many endpoints a request that crashes them can reach.
 
+mod blame;
 mod crash_history;
+mod crash_set;
 mod registry;
 mod run;
 mod run_gate;
+mod run_permit;
 mod segment_history;
+mod segment_use;
 mod suspect;
 
 pub use crash_history::{CrashHistory, Verdict};
--- a/src/core/quarantine/run.rs
+++ b/src/core/quarantine/run.rs
@@ -13,6 +13,14 @@
 /// How long a run is remembered after its caller has left, or after its endpoint was found
 /// alive. Within this time a registration shows whether the endpoint has restarted.
 const REMEMBERED_FOR: Duration = Duration::from_secs(3);
+/// Time from the first data of a response within which a crash may be due to the segments
+/// of its prompt: those that crash endpoints do so when they begin to write.
+const BEGINNING: Duration = Duration::from_secs(1);
+/// Writing time after which a run has not crashed its endpoint by beginning to write.
+const PROVEN_AFTER: Duration = BEGINNING;
+/// Longest pause between two pieces of data that counts as writing time, so that a process
+/// or a connection that stood still makes no run look sound.
+const MAX_WRITING_GAP: Duration = Duration::from_millis(250);
 
 /// Whether a run may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +64,8 @@
     Responding,
     // Its endpoint is being checked.
     Interrupted,
+    // Its response looks complete, but its endpoint is being checked.
+    Unconfirmed,
     // Its caller has left, or its endpoint was found alive.
     Ended { since: Instant },
 }
@@ -71,9 +81,74 @@
     // One more crash would quarantine the request.
     pub(super) last_chance: bool,
     pub(super) state: RunState,
+    // Segments with crashes that were known when the response began.
+    pub(super) suspected_segments: Vec<SegmentId>,
+    // It was recorded that it did not crash its endpoint.
+    pub(super) is_sound: bool,
+    first_data: Option<Instant>,
+    last_data: Option<Instant>,
+    writing_time: Duration,
+    ended_at: Option<Instant>,
 }
 
 impl Run {
+    /// A run that starts now.
+    pub(super) fn new(fingerprint: Fingerprint, segments: Vec<SegmentId>, crash: CrashId) -> Self {
+        Self {
+            fingerprint,
+            crash,
+            segments,
+            known_crashes: Vec::new(),
+            last_chance: false,
+            state: RunState::Starting,
+            suspected_segments: Vec::new(),
+            is_sound: false,
+            first_data: None,
+            last_data: None,
+            writing_time: Duration::ZERO,
+            ended_at: None,
+        }
+    }
+
+    pub(super) fn has_responded(&self) -> bool {
+        self.first_data.is_some()
+    }
+
+    pub(super) fn record_data(&mut self, now: Instant) {
+        self.state = RunState::Responding;
+        self.first_data.get_or_insert(now);
+        let last = self.last_data.replace(now).unwrap_or(now);
+        self.writing_time += now.saturating_duration_since(last).min(MAX_WRITING_GAP);
+    }
+
+    pub(super) fn end(&mut self, now: Instant, state: RunState) {
+        self.state = state;
+        self.ended_at.get_or_insert(now);
+    }
+
+    /// Whether it wrote long enough to show that its segments do not crash endpoints.
+    pub(super) fn is_proven(&self) -> bool {
+        PROVEN_AFTER <= self.writing_time
+    }
+
+    /// Whether it had at most begun to write when it ended, or until now.
+    pub(super) fn is_beginning(&self, now: Instant) -> bool {
+        let until = self.ended_at.unwrap_or(now);
+        self.first_data.is_none_or(|at| until < at + BEGINNING)
+    }
+
+    /// What may have caused a crash of its endpoint.
+    pub(super) fn suspects(&self, now: Instant) -> Vec<Suspect> {
+        let segments = if self.is_beginning(now) { self.segments.as_slice() } else { &[] };
+        let segments = segments.iter().copied().map(Suspect::Segment);
+        std::iter::once(Suspect::Request(self.fingerprint)).chain(segments).collect()
+    }
+
+    /// Whether a check of its endpoint decides how it ended.
+    pub(super) fn is_unresolved(&self) -> bool {
+        matches!(self.state, RunState::Interrupted | RunState::Unconfirmed)
+    }
+
     pub(super) fn is_active(&self) -> bool {
         matches!(self.state, RunState::Starting | RunState::Responding)
     }
--- a/src/core/quarantine/run_gate.rs
+++ b/src/core/quarantine/run_gate.rs
@@ -10,7 +10,6 @@
     ids::{CrashId, Fingerprint, SegmentId},
     quarantine::{
         CrashHistory, CrashReport, RunEnd, RunId, RunOutcome, RunPermit, SegmentHistory, Suspect,
-        Verdict,
         run::{Run, RunState},
     },
 };
@@ -39,9 +38,9 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct RunGate {
-    history: CrashHistory,
-    segments: SegmentHistory,
-    runs: HashMap<RunId, Run>,
+    pub(super) history: CrashHistory,
+    pub(super) segments: SegmentHistory,
+    pub(super) runs: HashMap<RunId, Run>,
     next_run: RunId,
     // Position of this process among the live ones, and their number.
     position: (usize, usize),
@@ -60,14 +59,14 @@
         }
     }
 
-    /// The crashes of all processes, as far as they are known here.
+    /// The crashes that whole requests may have caused, as far as they are known here.
     pub fn history(&self) -> &CrashHistory {
         &self.history
     }
 
-    /// The crashes, to merge reports of other processes.
-    pub fn history_mut(&mut self) -> &mut CrashHistory {
-        &mut self.history
+    /// The crashes that segments of prompts may have caused, as far as they are known here.
+    pub fn segments(&self) -> &SegmentHistory {
+        &self.segments
     }
 
     /// Sets the position of this process among `count` live ones. Each request has one of
@@ -108,7 +107,11 @@
     pub fn merge(&mut self, now: Instant, report: &CrashReport) -> bool {
         match report.suspect {
             Suspect::Request(_) => self.history.merge(now, report),
-            Suspect::Segment(_) => self.segments.merge(now, report),
+            Suspect::Segment(_) => {
+                let changed = self.segments.merge(now, report);
+                self.update_explained();
+                changed
+            }
         }
     }
 
@@ -136,7 +139,7 @@
 
     /// Number of requests and segments that are quarantined.
     pub fn quarantined(&self, now: Instant) -> usize {
-        self.history.quarantined(now) + self.segments.blamed()
+        self.history.quarantined(now) + self.segments.blamed().len()
     }
 
     /// Number of runs that have not ended or are not resolved.
@@ -149,43 +152,6 @@
         self.runs.is_empty()
     }
 
-    /// Whether a run of the request may start, whose prompt has these segments beside the
-    /// last.
-    pub fn permit(
-        &self,
-        now: Instant,
-        fingerprint: Fingerprint,
-        segments: &[SegmentId],
-    ) -> RunPermit {
-        if segments.iter().any(|s| self.segments.is_blamed(*s)) {
-            return RunPermit::Quarantined;
-        }
-        match self.history.verdict(now, fingerprint) {
-            Verdict::Quarantined => return RunPermit::Quarantined,
-            Verdict::Undecided => return RunPermit::Wait,
-            Verdict::Allowed => {}
-        }
-        let unconfirmed = self.unconfirmed_crashes(fingerprint);
-        let suspected = self.history.crashes(fingerprint) + unconfirmed;
-        if suspected == 0 {
-            return RunPermit::Allowed;
-        }
-        let own = self.runs.values().filter(|r| r.fingerprint == fingerprint);
-        let active = own.filter(|r| r.is_active()).count();
-        let limit = self.history.limit();
-        if 0 < active + unconfirmed && limit <= suspected + active {
-            return RunPermit::Wait;
-        }
-        if limit <= self.history.unexplained(now, fingerprint) && !self.owns(fingerprint) {
-            return RunPermit::Wait;
-        }
-        let mut others = self.runs.values().filter(|r| r.fingerprint != fingerprint);
-        if self.is_last_chance(now, fingerprint) && others.any(|r| self.is_exclusive(now, r)) {
-            return RunPermit::Wait;
-        }
-        RunPermit::Allowed
-    }
-
     /// Starts a run at an endpoint whose crash would have this id.
     ///
     /// # Errors
@@ -201,43 +167,61 @@
         if permit != RunPermit::Allowed {
             return Err(permit);
         }
+        let mut segments = segments.to_vec();
+        segments.sort_unstable();
+        segments.dedup();
+        for segment in &segments {
+            self.segments.record_run(*segment);
+        }
+        let mut run = Run::new(fingerprint, segments, crash);
+        run.suspected_segments = self.with_crashes(&run.segments);
+        run.known_crashes = self.history.crash_ids(fingerprint);
+        run.last_chance = self.is_last_chance(now, fingerprint);
         self.next_run += 1;
-        let run = Run {
-            fingerprint,
-            crash,
-            segments: segments.to_vec(),
-            known_crashes: self.history.crash_ids(fingerprint),
-            last_chance: self.is_last_chance(now, fingerprint),
-            state: RunState::Starting,
-        };
         self.runs.insert(self.next_run, run);
         Ok(self.next_run)
     }
 
-    /// Records the first part of the response.
-    pub fn record_response(&mut self, _now: Instant, run: RunId) {
-        if let Some(run) = self.runs.get_mut(&run) {
-            run.state = RunState::Responding;
+    /// Records data of the response. The first call marks its beginning. Later ones, of
+    /// which a few each second are enough, show that the endpoint still writes. Returns
+    /// suspects against which crashes no longer count.
+    pub fn record_response(&mut self, now: Instant, id: RunId) -> Vec<Suspect> {
+        let Some(run) = self.runs.get(&id).filter(|r| r.is_active()) else { return Vec::new() };
+        let suspected = (!run.has_responded()).then(|| self.with_crashes(&run.segments));
+        let Some(run) = self.runs.get_mut(&id) else { return Vec::new() };
+        if let Some(suspected) = suspected {
+            run.suspected_segments = suspected;
+        }
+        run.record_data(now);
+        if run.is_sound || !run.is_proven() {
+            return Vec::new();
         }
+        run.is_sound = true;
+        let run = run.clone();
+        self.clear_segments(now, &run)
     }
 
     /// Records the end of a run.
     pub fn end(&mut self, now: Instant, id: RunId, end: RunEnd) -> RunOutcome {
-        let Some(run) = self.runs.get_mut(&id) else { return RunOutcome::default() };
-        let was_suspect = !run.known_crashes.is_empty();
-        match end {
-            RunEnd::Interrupted | RunEnd::Unconfirmed => run.state = RunState::Interrupted,
+        let Some(run) = self.runs.get(&id) else { return RunOutcome::default() };
+        let is_suspect = self.is_suspect(now, run);
+        let state = match end {
+            RunEnd::Interrupted => RunState::Interrupted,
+            RunEnd::Unconfirmed => RunState::Unconfirmed,
             // A caller of a suspect request may leave because the endpoint crashed.
-            RunEnd::Abandoned if was_suspect => run.state = RunState::Interrupted,
-            RunEnd::Abandoned => run.state = RunState::Ended { since: now },
-            RunEnd::Completed | RunEnd::Failed => {
-                let Some(run) = self.runs.remove(&id) else { return RunOutcome::default() };
-                let cleared =
-                    if end == RunEnd::Completed { self.clear(now, run) } else { Vec::new() };
-                return RunOutcome { needs_check: false, cleared };
+            RunEnd::Abandoned if is_suspect => RunState::Interrupted,
+            RunEnd::Abandoned => RunState::Ended { since: now },
+            RunEnd::Completed => {
+                return RunOutcome { needs_check: false, cleared: self.complete(now, id) };
             }
-        }
-        RunOutcome { needs_check: run.state == RunState::Interrupted, cleared: Vec::new() }
+            RunEnd::Failed => {
+                self.runs.remove(&id);
+                return RunOutcome::default();
+            }
+        };
+        let Some(run) = self.runs.get_mut(&id) else { return RunOutcome::default() };
+        run.end(now, state);
+        RunOutcome { needs_check: run.is_unresolved(), cleared: Vec::new() }
     }
 
     /// Runs that ended in a way that a crash would explain.
@@ -249,11 +233,12 @@
 
     /// Whether an interrupted run waits for a check of its endpoint.
     pub fn needs_check(&self, crash: CrashId) -> bool {
-        self.runs.values().any(|r| r.crash == crash && r.state == RunState::Interrupted)
+        self.runs.values().any(|r| r.crash == crash && r.is_unresolved())
     }
 
     /// Records the result of a check that started after the runs in `checked` had ended.
-    /// Returns the suspects against which the crash was counted.
+    /// Returns the suspects whose crashes changed: against which the crash was counted, or
+    /// which an unconfirmed run has cleared, since its endpoint has not crashed.
     pub fn resolve(
         &mut self,
         now: Instant,
@@ -261,32 +246,23 @@
         checked: &[RunId],
         crashed: bool,
     ) -> Vec<Suspect> {
-        let mut counted = Vec::new();
         if crashed {
-            let ran = self.runs.values().filter(|r| r.crash == crash && !r.is_forgotten(now));
-            let ran: Vec<(Fingerprint, Vec<SegmentId>)> =
-                ran.map(|r| (r.fingerprint, r.segments.clone())).collect();
-            for (fingerprint, segments) in ran {
-                for segment in segments {
-                    if self.segments.record_crash(now, segment, crash) {
-                        counted.push(Suspect::Segment(segment));
-                    }
-                }
-                if self.history.record_crash(now, fingerprint, crash) {
-                    counted.push(Suspect::Request(fingerprint));
-                }
+            let counted = self.count_crash(now, crash);
+            for id in checked {
+                self.runs.remove(id);
             }
+            return counted;
         }
+        let mut cleared = Vec::new();
         for id in checked {
-            match self.runs.get_mut(id) {
-                Some(run) if !crashed && run.state == RunState::Interrupted => {
-                    run.state = RunState::Ended { since: now };
-                }
-                Some(_) if crashed => drop(self.runs.remove(id)),
+            let Some(run) = self.runs.get_mut(id) else { continue };
+            match run.state {
+                RunState::Interrupted => run.end(now, RunState::Ended { since: now }),
+                RunState::Unconfirmed => cleared.extend(self.complete(now, *id)),
                 _ => {}
             }
         }
-        counted
+        cleared
     }
 
     /// Forgets suspects without news and runs that ended long ago. Returns the forgotten
@@ -295,55 +271,75 @@
         self.runs.retain(|_, r| !r.is_forgotten(now));
         let requests = self.history.expire(now).into_iter().map(Suspect::Request);
         let segments = self.segments.expire(now).into_iter().map(Suspect::Segment);
-        requests.chain(segments).collect()
+        let expired = requests.chain(segments).collect();
+        self.update_explained();
+        expired
     }
 
+    /// Reports on segments and requests by turns, so that neither crowd out the others.
     fn reports(&self, is_due: impl Fn(u64, usize, Option<Instant>) -> bool) -> Vec<CrashReport> {
-        let mut reports = self.segments.reports(&is_due);
-        reports.extend(self.history.reports(&is_due));
-        reports
+        let mut segments = self.segments.reports(&is_due).into_iter();
+        let mut requests = self.history.reports(&is_due).into_iter();
+        let count = segments.len().max(requests.len());
+        (0..count).flat_map(|_| [segments.next(), requests.next()]).flatten().collect()
     }
 
-    fn owns(&self, id: u64) -> bool {
+    pub(super) fn owns(&self, id: u64) -> bool {
         let (position, count) = self.position;
         id % count as u64 == position as u64
     }
 
-    /// Possible crashes during interrupted runs of the request.
-    fn unconfirmed_crashes(&self, fingerprint: Fingerprint) -> usize {
-        let known = self.history.crash_ids(fingerprint);
-        let interrupted = self.runs.values().filter(|r| r.state == RunState::Interrupted);
-        let own = interrupted.filter(|r| r.fingerprint == fingerprint).map(|r| r.crash);
-        own.filter(|crash| !known.contains(crash)).collect::<HashSet<CrashId>>().len()
+    /// Counts a crash against the requests that ran at the endpoint and against the
+    /// segments of those that had just begun.
+    fn count_crash(&mut self, now: Instant, crash: CrashId) -> Vec<Suspect> {
+        let ran = self.runs.values().filter(|r| r.crash == crash && !r.is_forgotten(now));
+        let mut suspects: Vec<Suspect> =
+            ran.flat_map(|r| r.suspects(now)).collect::<HashSet<Suspect>>().into_iter().collect();
+        suspects.sort_unstable();
+        suspects.retain(|suspect| match *suspect {
+            Suspect::Request(fingerprint) => self.history.record_crash(now, fingerprint, crash),
+            Suspect::Segment(segment) => self.segments.record_crash(now, segment, crash),
+        });
+        self.update_explained();
+        suspects
     }
 
-    /// Whether one more crash would quarantine the request.
-    fn is_last_chance(&self, now: Instant, fingerprint: Fingerprint) -> bool {
-        let unexplained = self.history.unexplained(now, fingerprint);
-        self.history.limit() <= unexplained + self.unconfirmed_crashes(fingerprint) + 1
+    /// Whether its endpoint may have crashed because of it, by what is known of earlier runs.
+    fn is_suspect(&self, now: Instant, run: &Run) -> bool {
+        !run.known_crashes.is_empty()
+            || (run.is_beginning(now) && !self.with_crashes(&run.segments).is_empty())
     }
 
-    /// Whether other requests that are a crash away from the limit must wait for this run.
-    fn is_exclusive(&self, now: Instant, run: &Run) -> bool {
-        let ends_at_response =
-            self.history.unexplained(now, run.fingerprint) < self.history.limit();
-        match run.state {
-            RunState::Starting | RunState::Interrupted => run.last_chance,
-            RunState::Responding => run.last_chance && !ends_at_response,
-            RunState::Ended { .. } => false,
-        }
+    fn with_crashes(&self, segments: &[SegmentId]) -> Vec<SegmentId> {
+        segments.iter().copied().filter(|s| 0 < self.segments.crashes(*s)).collect()
     }
 
-    /// A complete run proves that the request need not crash an endpoint, and that this
-    /// endpoint did not crash.
-    fn clear(&mut self, now: Instant, run: Run) -> Vec<Suspect> {
+    /// Removes a run whose response is complete. That proves that the request and its
+    /// segments need not crash an endpoint, and that this endpoint did not crash.
+    fn complete(&mut self, now: Instant, id: RunId) -> Vec<Suspect> {
+        let Some(run) = self.runs.remove(&id) else { return Vec::new() };
+        let mut cleared = if run.is_sound { Vec::new() } else { self.clear_segments(now, &run) };
         let mut known = run.known_crashes;
         if self.history.crash_ids(run.fingerprint).contains(&run.crash) {
             known.push(run.crash);
         }
-        match self.history.record_completed(now, run.fingerprint, &known) {
-            0 => Vec::new(),
-            _ => vec![Suspect::Request(run.fingerprint)],
+        if 0 < self.history.record_completed(now, run.fingerprint, &known) {
+            cleared.push(Suspect::Request(run.fingerprint));
+        }
+        cleared
+    }
+
+    fn clear_segments(&mut self, now: Instant, run: &Run) -> Vec<Suspect> {
+        let mut cleared = run.segments.clone();
+        cleared.retain(|s| self.segments.record_sound(now, *s, run.suspected_segments.contains(s)));
+        self.update_explained();
+        cleared.into_iter().map(Suspect::Segment).collect()
+    }
+
+    /// Crashes of blamed segments do not count against whole requests.
+    fn update_explained(&mut self) {
+        if let Some(explained) = self.segments.take_explained() {
+            self.history.set_explained(explained);
         }
     }
 }
--- /dev/null
+++ b/src/core/quarantine/run_permit.rs
@@ -0,0 +1,106 @@
+//! Which runs may start.
+
+use std::{collections::HashSet, time::Instant};
+
+use crate::core::{
+    ids::{CrashId, Fingerprint, SegmentId},
+    quarantine::{
+        RunGate, RunPermit, Verdict,
+        run::{Run, RunState},
+    },
+};
+
+impl RunGate {
+    /// Whether a run of the request may start, whose prompt has these segments beside the
+    /// last.
+    pub fn permit(
+        &self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        segments: &[SegmentId],
+    ) -> RunPermit {
+        if self.has_blamed_segment(now, segments) {
+            return RunPermit::Quarantined;
+        }
+        match self.history.verdict(now, fingerprint) {
+            Verdict::Quarantined => return RunPermit::Quarantined,
+            Verdict::Undecided => return RunPermit::Wait,
+            Verdict::Allowed => {}
+        }
+        let unconfirmed = self.unconfirmed_crashes(now, fingerprint);
+        let suspected = self.history.counted(fingerprint) + unconfirmed;
+        if suspected == 0 {
+            return RunPermit::Allowed;
+        }
+        let own = self.runs.values().filter(|r| r.fingerprint == fingerprint);
+        let active = own.filter(|r| r.is_active()).count();
+        let limit = self.history.limit();
+        if 0 < active + unconfirmed && limit <= suspected + active {
+            return RunPermit::Wait;
+        }
+        if limit <= self.history.unexplained(now, fingerprint) && !self.owns(fingerprint) {
+            return RunPermit::Wait;
+        }
+        let mut others = self.runs.values().filter(|r| r.fingerprint != fingerprint);
+        if self.is_last_chance(now, fingerprint) && others.any(|r| self.is_exclusive(now, r)) {
+            return RunPermit::Wait;
+        }
+        RunPermit::Allowed
+    }
+
+    /// Whether one more crash would quarantine the request.
+    pub(super) fn is_last_chance(&self, now: Instant, fingerprint: Fingerprint) -> bool {
+        let unexplained = self.history.unexplained(now, fingerprint);
+        self.history.limit() <= unexplained + self.unconfirmed_crashes(now, fingerprint) + 1
+    }
+
+    /// Whether one of the segments is blamed and the request may not try it either.
+    fn has_blamed_segment(&self, now: Instant, segments: &[SegmentId]) -> bool {
+        let mut blamed = segments.iter().copied().filter(|s| self.segments.is_blamed(*s));
+        blamed.next().is_some_and(|first| !self.may_try(now, first, segments))
+    }
+
+    /// Whether a request with these segments may show that the blamed one was blamed
+    /// wrongly. Only one process and one run at a time do so, and the crash of the run must
+    /// have no other likely cause.
+    fn may_try(&self, now: Instant, blamed: SegmentId, segments: &[SegmentId]) -> bool {
+        if !self.owns(blamed) || !self.segments.may_try(now, blamed) {
+            return false;
+        }
+        let crashes = self.segments.crashes(blamed);
+        let is_likelier = |s: SegmentId| s != blamed && crashes <= self.segments.crashes(s);
+        let is_trial = |r: &Run| {
+            let is_undecided = r.is_unresolved() || (r.is_active() && r.is_beginning(now));
+            is_undecided && r.segments.contains(&blamed)
+        };
+        !segments.iter().any(|s| is_likelier(*s) || (*s != blamed && self.segments.is_blamed(*s)))
+            && !self.runs.values().any(is_trial)
+    }
+
+    /// Possible crashes during interrupted runs of the request, apart from those of
+    /// endpoints where a run with a blamed segment began.
+    fn unconfirmed_crashes(&self, now: Instant, fingerprint: Fingerprint) -> usize {
+        let known = self.history.crash_ids(fingerprint);
+        let unresolved = self.runs.values().filter(|r| r.is_unresolved());
+        let own = unresolved.filter(|r| r.fingerprint == fingerprint).map(|r| r.crash);
+        let unknown: HashSet<CrashId> = own.filter(|crash| !known.contains(crash)).collect();
+        unknown.into_iter().filter(|crash| !self.is_explained(now, *crash)).count()
+    }
+
+    /// Whether a run with a blamed segment explains a crash of the endpoint.
+    fn is_explained(&self, now: Instant, crash: CrashId) -> bool {
+        let mut runs = self.runs.values().filter(|r| r.crash == crash && r.is_beginning(now));
+        runs.any(|r| r.segments.iter().any(|s| self.segments.is_blamed(*s)))
+    }
+
+    /// Whether other requests that are a crash away from the limit must wait for this run.
+    fn is_exclusive(&self, now: Instant, run: &Run) -> bool {
+        let ends_at_response =
+            self.history.unexplained(now, run.fingerprint) < self.history.limit();
+        match run.state {
+            RunState::Starting | RunState::Interrupted | RunState::Unconfirmed => run.last_chance,
+            RunState::Responding => run.last_chance && !ends_at_response,
+            RunState::Ended { .. } => false,
+        }
+    }
+}
--- a/src/core/quarantine/segment_history.rs
+++ b/src/core/quarantine/segment_history.rs
@@ -1,120 +1,312 @@
 //! Crashes of endpoints by the segments of prompts that may have caused them.
 
 use std::{
-    collections::HashMap,
+    cmp::Reverse,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
 use crate::core::{
     ids::{CrashId, SegmentId},
-    quarantine::{CrashReport, Suspect},
+    quarantine::{
+        CrashReport, Suspect,
+        blame::{Blame, Candidate},
+        crash_set::CrashSet,
+        segment_use::SegmentUse,
+    },
 };
 
-/// How long a segment without news is remembered.
+/// How long a segment without news or refusals is remembered.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
+/// Most segments with crashes that are remembered. Those with the fewest crashes are
+/// dropped first.
+const MAX_SEGMENTS: usize = 4096;
+/// Most crashes kept for a segment. They also explain crashes of other suspects.
+const MAX_CRASHES: usize = 32;
+/// How long after the last crash a blamed segment is tried again: by then the crashes of
+/// runs that had started before are known, by a check that takes up to 600 ms, a datagram
+/// and its repetition.
+const TRIAL_DELAY: Duration = Duration::from_secs(2);
+/// Trials that may crash in a row. With the next one after [`FORGET_AFTER`], there are as
+/// many as the platform's rules allow.
+const EARLY_TRIALS: usize = 2;
 
 #[derive(Clone, Debug)]
 struct SegmentRecord {
-    crashes: Vec<CrashId>,
-    cleared: Vec<CrashId>,
+    set: CrashSet,
+    last_crash: Instant,
     last_news: Instant,
+    // When this process saw a crash or a sound run itself.
     seen_here: Option<Instant>,
+    blamed_at: Option<Instant>,
+    // Crashes, seen by any process, later than runs from before the blame explain.
+    crashed_trials: usize,
 }
 
 /// The crashes that segments of prompts may have caused, as far as this process knows.
+///
+/// A crash counts against all segments of the runs that had just begun at the endpoint.
+/// A segment is blamed if it has at least `limit` crashes that no likelier one explains. A
+/// run that began after a crash of a segment was known and did not crash its endpoint
+/// clears all crashes of the segment.
+///
+/// ```
+/// use std::time::Instant;
+/// use goldcrestpitch::core::quarantine::SegmentHistory;
+/// let now = Instant::now();
+/// let mut history = SegmentHistory::new(2);
+/// let (shared, cause) = (1, 2);
+/// history.record_sound(now, shared, false);
+/// for crash in [100, 200] {
+///     history.record_crash(now, shared, crash);
+///     history.record_crash(now, cause, crash);
+/// }
+/// assert!(history.is_blamed(cause) && !history.is_blamed(shared));
+/// history.record_sound(now, cause, true);
+/// assert!(!history.is_blamed(cause));
+/// ```
 #[derive(Clone, Debug)]
 pub struct SegmentHistory {
     limit: usize,
-    segments: HashMap<SegmentId, SegmentRecord>,
+    records: HashMap<SegmentId, SegmentRecord>,
+    uses: SegmentUse,
+    blame: Blame,
+    explained_changed: bool,
 }
 
 impl SegmentHistory {
-    /// Blames segments after `limit` crashes.
+    /// Blames segments that explain `limit` crashes.
     pub fn new(limit: usize) -> Self {
-        Self { limit: limit.max(1), segments: HashMap::new() }
+        Self {
+            limit: limit.max(1),
+            records: HashMap::new(),
+            uses: SegmentUse::default(),
+            blame: Blame::default(),
+            explained_changed: false,
+        }
     }
 
     /// Number of crashes that the segment may have caused.
     pub fn crashes(&self, segment: SegmentId) -> usize {
-        self.segments.get(&segment).map_or(0, |s| s.crashes.len())
+        self.records.get(&segment).map_or(0, |r| r.set.len())
     }
 
-    /// Whether requests with the segment are refused.
+    /// Whether crashes are attributed to the segment, so that it must not run.
     pub fn is_blamed(&self, segment: SegmentId) -> bool {
-        self.limit <= self.crashes(segment)
+        self.blame.segments.contains(&segment)
     }
 
-    /// Number of segments that are blamed.
-    pub fn blamed(&self) -> usize {
-        self.segments.keys().filter(|s| self.is_blamed(**s)).count()
+    /// The segments to which crashes are attributed.
+    pub fn blamed(&self) -> &HashSet<SegmentId> {
+        &self.blame.segments
     }
 
-    /// Merges the report of another process on a segment. Returns whether it contained news.
-    pub fn merge(&mut self, now: Instant, report: &CrashReport) -> bool {
-        let Suspect::Segment(segment) = report.suspect else { return false };
-        let record = self.segments.entry(segment).or_insert_with(|| SegmentRecord {
-            crashes: Vec::new(),
-            cleared: Vec::new(),
-            last_news: now,
-            seen_here: None,
-        });
-        let before = (record.crashes.len(), record.cleared.len());
-        for crash in &report.cleared {
-            if !record.cleared.contains(crash) {
-                record.cleared.push(*crash);
-            }
-        }
-        record.crashes.retain(|c| !record.cleared.contains(c));
-        for crash in &report.crashes {
-            if !record.crashes.contains(crash) && !record.cleared.contains(crash) {
-                record.crashes.push(*crash);
-            }
-        }
-        let changed = before != (record.crashes.len(), record.cleared.len());
-        if changed {
-            record.last_news = now;
-        }
-        changed
+    /// The crashes of blamed segments, if they changed since the last call.
+    pub fn take_explained(&mut self) -> Option<HashSet<CrashId>> {
+        std::mem::take(&mut self.explained_changed).then(|| self.blame.explained.clone())
+    }
+
+    /// Whether a blamed segment may run once to show whether it was blamed wrongly, which
+    /// one process may decide.
+    pub fn may_try(&self, now: Instant, segment: SegmentId) -> bool {
+        let Some(record) = self.records.get(&segment) else { return false };
+        self.uses.was_sound(segment) && record.may_try(now)
+    }
+
+    /// Records the start of a run with the segment.
+    pub fn record_run(&mut self, segment: SegmentId) {
+        self.uses.record_run(segment);
     }
 
-    /// Records a crash of an endpoint while a run with the segment began there.
+    /// Records that a run with the segment began at an endpoint that crashed. Returns
+    /// whether the crash was not known.
     pub fn record_crash(&mut self, now: Instant, segment: SegmentId, crash: CrashId) -> bool {
-        let suspect = Suspect::Segment(segment);
-        let report = CrashReport { suspect, crashes: vec![crash], cleared: Vec::new() };
-        let changed = self.merge(now, &report);
-        if let Some(record) = self.segments.get_mut(&segment).filter(|_| changed) {
-            record.seen_here = Some(now);
+        self.merge_own(now, segment, &[crash], &[])
+    }
+
+    /// Records that a run with the segment did not crash its endpoint. If it began when a
+    /// crash of the segment was known (`clears`), all its crashes are cleared. Returns
+    /// whether there were any.
+    pub fn record_sound(&mut self, now: Instant, segment: SegmentId, clears: bool) -> bool {
+        let is_first = self.uses.record_sound(segment);
+        let Some(record) = self.records.get(&segment) else { return false };
+        if clears && 0 < record.set.len() {
+            let known = record.set.crashes().to_vec();
+            return self.merge_own(now, segment, &[], &known);
         }
-        changed
+        if is_first && self.limit <= record.set.len() {
+            self.update_blame(now);
+        }
+        false
     }
 
-    /// Keeps a refused segment from being forgotten.
+    /// Merges the report of another process on a segment. Returns whether it contained news.
+    pub fn merge(&mut self, now: Instant, report: &CrashReport) -> bool {
+        let Suspect::Segment(segment) = report.suspect else { return false };
+        self.merge_sets(now, segment, &report.crashes, &report.cleared)
+    }
+
+    /// Keeps a blamed segment from being forgotten while requests with it are refused.
     pub fn record_refusal(&mut self, now: Instant, segment: SegmentId) {
-        if let Some(record) = self.segments.get_mut(&segment) {
+        if self.is_blamed(segment)
+            && let Some(record) = self.records.get_mut(&segment)
+        {
             record.last_news = now;
         }
     }
 
     /// The report on one segment.
     pub fn report(&self, segment: SegmentId) -> Option<CrashReport> {
-        let record = self.segments.get(&segment)?;
-        let (crashes, cleared) = (record.crashes.clone(), record.cleared.clone());
+        let set = &self.records.get(&segment)?.set;
+        let (crashes, cleared) = (set.crashes().to_vec(), set.cleared().to_vec());
         Some(CrashReport { suspect: Suspect::Segment(segment), crashes, cleared })
     }
 
     /// Reports on the segments that `is_due` selects by id, number of crashes and the time
-    /// of the last news that this process saw itself.
+    /// of the last crash or sound run that this process saw itself. Blamed ones come first,
+    /// then those that were never sound here, then those with the most crashes, counted or
+    /// cleared, then the latest.
     pub fn reports(
         &self,
         is_due: impl Fn(SegmentId, usize, Option<Instant>) -> bool,
     ) -> Vec<CrashReport> {
-        let due = self.segments.iter().filter(|(s, r)| is_due(**s, r.crashes.len(), r.seen_here));
-        due.filter_map(|(s, _)| self.report(*s)).collect()
+        let due = self.records.iter().filter(|(s, r)| is_due(**s, r.set.len(), r.seen_here));
+        let mut due: Vec<(SegmentId, &SegmentRecord)> = due.map(|(s, r)| (*s, r)).collect();
+        due.sort_by_key(|(s, r)| {
+            let known = r.set.len() + r.set.cleared().len();
+            let is_unlikely = self.uses.was_sound(*s);
+            (!self.is_blamed(*s), is_unlikely, Reverse(known), Reverse(r.last_news), *s)
+        });
+        due.into_iter().filter_map(|(s, _)| self.report(s)).collect()
+    }
+
+    /// Number of segments with crashes that are remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no segment with crashes is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Number of segments of which it is remembered that they ran here.
+    pub fn used(&self) -> usize {
+        self.uses.len()
     }
 
-    /// Forgets segments without news and returns them.
+    /// Forgets the crashes of segments without news and returns these segments.
     pub fn expire(&mut self, now: Instant) -> Vec<SegmentId> {
-        let expired = self.segments.extract_if(|_, r| r.last_news + FORGET_AFTER <= now);
-        expired.map(|(s, _)| s).collect()
+        let expired = self.records.extract_if(|_, r| r.last_news + FORGET_AFTER <= now);
+        let expired: Vec<SegmentId> = expired.map(|(s, _)| s).collect();
+        if expired.iter().any(|s| self.is_blamed(*s)) {
+            self.update_blame(now);
+        }
+        expired
+    }
+
+    fn merge_own(
+        &mut self,
+        now: Instant,
+        segment: SegmentId,
+        crashes: &[CrashId],
+        cleared: &[CrashId],
+    ) -> bool {
+        let changed = self.merge_sets(now, segment, crashes, cleared);
+        if changed && let Some(record) = self.records.get_mut(&segment) {
+            record.seen_here = Some(now);
+        }
+        changed
+    }
+
+    fn merge_sets(
+        &mut self,
+        now: Instant,
+        segment: SegmentId,
+        crashes: &[CrashId],
+        cleared: &[CrashId],
+    ) -> bool {
+        if crashes.is_empty() && cleared.is_empty() {
+            return false;
+        }
+        self.make_room(now, segment);
+        let record = self.records.entry(segment).or_insert_with(|| SegmentRecord::new(now));
+        let before = record.set.len();
+        let change = record.set.merge(crashes, cleared);
+        if !change.any {
+            return false;
+        }
+        record.last_news = now;
+        if 0 < change.added {
+            record.record_crashes(now, change.added);
+        }
+        if record.set.len() < self.limit {
+            (record.blamed_at, record.crashed_trials) = (None, 0);
+        }
+        if self.limit <= before.max(record.set.len()) {
+            self.update_blame(now);
+        }
+        true
+    }
+
+    fn make_room(&mut self, now: Instant, segment: SegmentId) {
+        if self.records.len() < MAX_SEGMENTS || self.records.contains_key(&segment) {
+            return;
+        }
+        self.expire(now);
+        let least = self.records.iter().min_by_key(|(s, r)| (r.set.len(), r.last_news, **s));
+        if MAX_SEGMENTS <= self.records.len()
+            && let Some(least) = least.map(|(s, _)| *s)
+        {
+            self.records.remove(&least);
+            if self.is_blamed(least) {
+                self.update_blame(now);
+            }
+        }
+    }
+
+    fn update_blame(&mut self, now: Instant) {
+        let suspects = self.records.iter().filter(|(_, r)| self.limit <= r.set.len());
+        let candidates = suspects.map(|(segment, record)| {
+            let (was_sound, runs) = (self.uses.was_sound(*segment), self.uses.runs(*segment));
+            Candidate::new(*segment, record.set.crashes(), was_sound, runs)
+        });
+        let blame = Blame::new(candidates.collect(), self.limit);
+        for segment in &blame.segments {
+            if let Some(record) = self.records.get_mut(segment) {
+                record.blamed_at.get_or_insert(now);
+            }
+        }
+        self.explained_changed |= self.blame.explained != blame.explained;
+        self.blame = blame;
+    }
+}
+
+impl SegmentRecord {
+    fn new(now: Instant) -> Self {
+        Self {
+            set: CrashSet::new(MAX_CRASHES),
+            last_crash: now,
+            last_news: now,
+            seen_here: None,
+            blamed_at: None,
+            crashed_trials: 0,
+        }
+    }
+
+    fn record_crashes(&mut self, now: Instant, added: usize) {
+        self.last_crash = now;
+        if self.blamed_at.is_some_and(|at| at + TRIAL_DELAY <= now) {
+            self.crashed_trials += added;
+        }
+    }
+
+    fn may_try(&self, now: Instant) -> bool {
+        let pause = match self.crashed_trials {
+            0..EARLY_TRIALS => TRIAL_DELAY,
+            EARLY_TRIALS => FORGET_AFTER,
+            _ => return false,
+        };
+        self.last_crash + pause <= now
     }
 }
