--- a/src/core/quarantine/crash_history.rs
+++ b/src/core/quarantine/crash_history.rs
@@ -6,22 +6,22 @@
 
 use std::{
     cmp::Reverse,
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
-use crate::core::ids::{CrashId, Fingerprint};
+use crate::core::{
+    ids::{CrashId, Fingerprint},
+    quarantine::{CrashReport, Suspect, crash_set::CrashSet},
+};
 
 /// How long a request without news is remembered. A request that is sent again at
 /// intervals below this stays quarantined.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 /// Most requests that are remembered. Those with the fewest crashes are dropped first.
 const MAX_REQUESTS: usize = 4096;
-/// Most crashes kept for a request. They also explain crashes of other requests.
+/// Most crashes kept for a request, and most cleared ones. They also explain crashes of other requests.
 const MAX_CRASHES: usize = 8;
-/// Most cleared crashes kept for a request, so that a peer's older report does not bring
-/// them back.
-const MAX_CLEARED: usize = 8;
 /// How long a request that has just reached the limit is undecided, since another process
 /// may report a second request that crashed the same endpoint: a check of the endpoint
 /// takes up to 600 ms, and the datagram follows.
@@ -43,21 +43,11 @@
     Quarantined,
 }
 
-/// What a process knows of one request, for other processes.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct CrashReport {
-    /// The request.
-    pub fingerprint: Fingerprint,
-    /// Crashes that it may have caused.
-    pub crashes: Vec<CrashId>,
-    /// Crashes that a complete run of it has cleared.
-    pub cleared: Vec<CrashId>,
-}
-
 #[derive(Clone, Debug)]
-struct Suspect {
-    crashes: Vec<CrashId>,
-    cleared: Vec<CrashId>,
+struct RequestRecord {
+    set: CrashSet,
+    // Crashes that no segment explains.
+    counted: Vec<CrashId>,
     last_crash: Instant,
     last_news: Instant,
     // When this process saw a crash or a complete run itself.
@@ -86,13 +76,15 @@
 #[derive(Clone, Debug)]
 pub struct CrashHistory {
     limit: usize,
-    suspects: HashMap<Fingerprint, Suspect>,
+    suspects: HashMap<Fingerprint, RequestRecord>,
+    // Crashes that segments of prompts explain.
+    explained: HashSet<CrashId>,
 }
 
 impl CrashHistory {
     /// Quarantines requests after `limit` crashes.
     pub fn new(limit: usize) -> Self {
-        Self { limit: limit.max(1), suspects: HashMap::new() }
+        Self { limit: limit.max(1), suspects: HashMap::new(), explained: HashSet::new() }
     }
 
     /// Crashes after which a request is quarantined.
@@ -100,19 +92,34 @@
         self.limit
     }
 
-    /// Number of crashes while the request ran that no likelier request explains.
+    /// Number of crashes while the request ran that neither a segment nor a likelier request
+    /// explains.
     pub fn unexplained(&self, now: Instant, fingerprint: Fingerprint) -> usize {
         self.suspects.get(&fingerprint).map_or(0, |s| self.unexplained_by_others(now, s))
     }
 
+    /// Sets the crashes that do not count against requests, since segments of prompts explain
+    /// them.
+    pub fn set_explained(&mut self, explained: HashSet<CrashId>) {
+        self.explained = explained;
+        for suspect in self.suspects.values_mut() {
+            suspect.count(&self.explained);
+        }
+    }
+
+    /// Number of crashes while the request ran that count against it.
+    pub fn counted(&self, fingerprint: Fingerprint) -> usize {
+        self.suspects.get(&fingerprint).map_or(0, |s| s.counted.len())
+    }
+
     /// Number of crashes while the request ran.
     pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
-        self.suspects.get(&fingerprint).map_or(0, |s| s.crashes.len())
+        self.suspects.get(&fingerprint).map_or(0, |s| s.set.len())
     }
 
     /// The crashes while the request ran.
     pub fn crash_ids(&self, fingerprint: Fingerprint) -> Vec<CrashId> {
-        self.suspects.get(&fingerprint).map_or_else(Vec::new, |s| s.crashes.clone())
+        self.suspects.get(&fingerprint).map_or_else(Vec::new, |s| s.set.crashes().to_vec())
     }
 
     /// Time since the last crash that was learned.
@@ -123,7 +130,8 @@
     /// Records a crash of an endpoint while the request ran there. Returns whether it was
     /// not known.
     pub fn record_crash(&mut self, now: Instant, fingerprint: Fingerprint, crash: CrashId) -> bool {
-        self.merge_own(now, &CrashReport { fingerprint, crashes: vec![crash], cleared: Vec::new() })
+        let suspect = Suspect::Request(fingerprint);
+        self.merge_own(now, &CrashReport { suspect, crashes: vec![crash], cleared: Vec::new() })
     }
 
     /// Clears crashes after a complete run that started when they were known. Returns
@@ -139,33 +147,42 @@
             return 0;
         }
         let cleared = known_at_start.to_vec();
-        self.merge_own(now, &CrashReport { fingerprint, crashes: Vec::new(), cleared });
+        let suspect = Suspect::Request(fingerprint);
+        self.merge_own(now, &CrashReport { suspect, crashes: Vec::new(), cleared });
         before - self.crashes(fingerprint)
     }
 
-    /// Merges the report of another process. Returns whether it contained news.
+    /// Merges the report of another process on a request. Returns whether it contained news.
     pub fn merge(&mut self, now: Instant, report: &CrashReport) -> bool {
+        let Suspect::Request(fingerprint) = report.suspect else { return false };
         if report.crashes.is_empty() && report.cleared.is_empty() {
             return false;
         }
-        self.make_room(now, report.fingerprint);
-        let suspect = self.suspects.entry(report.fingerprint).or_insert_with(|| Suspect {
-            crashes: Vec::new(),
-            cleared: Vec::new(),
+        self.make_room(now, fingerprint);
+        let suspect = self.suspects.entry(fingerprint).or_insert_with(|| RequestRecord {
+            set: CrashSet::new(MAX_CRASHES),
+            counted: Vec::new(),
             last_crash: now,
             last_news: now,
             seen_here: None,
         });
-        let changed = suspect.merge(now, report);
-        if changed {
+        let change = suspect.set.merge(&report.crashes, &report.cleared);
+        if 0 < change.added {
+            suspect.last_crash = now;
+        }
+        if change.any {
             suspect.last_news = now;
+            suspect.count(&self.explained);
         }
-        changed
+        change.any
     }
 
     /// Whether the request may run.
     pub fn verdict(&self, now: Instant, fingerprint: Fingerprint) -> Verdict {
         let Some(suspect) = self.suspects.get(&fingerprint) else { return Verdict::Allowed };
+        if suspect.counted.len() < self.limit {
+            return Verdict::Allowed;
+        }
         if self.unexplained_by_others(now, suspect) < self.limit || suspect.is_expired(now) {
             return Verdict::Allowed;
         }
@@ -194,20 +211,20 @@
     /// The report on one request.
     pub fn report(&self, fingerprint: Fingerprint) -> Option<CrashReport> {
         let suspect = self.suspects.get(&fingerprint)?;
-        let (crashes, cleared) = (suspect.crashes.clone(), suspect.cleared.clone());
-        Some(CrashReport { fingerprint, crashes, cleared })
+        let (crashes, cleared) = (suspect.set.crashes().to_vec(), suspect.set.cleared().to_vec());
+        Some(CrashReport { suspect: Suspect::Request(fingerprint), crashes, cleared })
     }
 
-    /// Reports on the requests that `is_due` selects by fingerprint, number of crashes and
+    /// Reports on the requests that `is_due` selects by fingerprint, number of counted crashes and
     /// the time of the last crash or complete run that this process saw itself. Those with
-    /// the most crashes come first, then the latest.
+    /// the most counted crashes come first, then the latest.
     pub fn reports(
         &self,
         is_due: impl Fn(Fingerprint, usize, Option<Instant>) -> bool,
     ) -> Vec<CrashReport> {
-        let due = self.suspects.iter().filter(|(f, s)| is_due(**f, s.crashes.len(), s.seen_here));
-        let mut due: Vec<(Fingerprint, &Suspect)> = due.map(|(f, s)| (*f, s)).collect();
-        due.sort_by_key(|(f, s)| (Reverse(s.crashes.len()), Reverse(s.last_news), *f));
+        let due = self.suspects.iter().filter(|(f, s)| is_due(**f, s.counted.len(), s.seen_here));
+        let mut due: Vec<(Fingerprint, &RequestRecord)> = due.map(|(f, s)| (*f, s)).collect();
+        due.sort_by_key(|(f, s)| (Reverse(s.counted.len()), Reverse(s.last_news), *f));
         due.into_iter().filter_map(|(f, _)| self.report(f)).collect()
     }
 
@@ -239,28 +256,29 @@
 
     fn merge_own(&mut self, now: Instant, report: &CrashReport) -> bool {
         let changed = self.merge(now, report);
-        if let Some(suspect) = self.suspects.get_mut(&report.fingerprint).filter(|_| changed) {
+        let fingerprint = report.suspect.request().filter(|_| changed);
+        if let Some(suspect) = fingerprint.and_then(|f| self.suspects.get_mut(&f)) {
             suspect.seen_here = Some(now);
         }
         changed
     }
 
-    fn unexplained_by_others(&self, now: Instant, suspect: &Suspect) -> usize {
-        let likelier: Vec<&Suspect> = self
+    fn unexplained_by_others(&self, now: Instant, suspect: &RequestRecord) -> usize {
+        let likelier: Vec<&RequestRecord> = self
             .suspects
             .values()
-            .filter(|s| self.limit.max(suspect.crashes.len() + 1) <= s.crashes.len())
+            .filter(|s| self.limit.max(suspect.counted.len() + 1) <= s.counted.len())
             .filter(|s| s.is_settled(now))
             .collect();
-        let explained = |crash| likelier.iter().any(|s| s.crashes.contains(crash));
-        suspect.crashes.iter().filter(|crash| !explained(crash)).count()
+        let explained = |crash| likelier.iter().any(|s| s.counted.contains(crash));
+        suspect.counted.iter().filter(|crash| !explained(crash)).count()
     }
 
     /// Ranks of the other requests with at least as many crashes, of which they share one.
-    fn rivals(&self, fingerprint: Fingerprint, suspect: &Suspect) -> Vec<Rank> {
-        let is_rival = |other: &Suspect| {
-            suspect.crashes.len() <= other.crashes.len()
-                && suspect.crashes.iter().any(|c| other.crashes.contains(c))
+    fn rivals(&self, fingerprint: Fingerprint, suspect: &RequestRecord) -> Vec<Rank> {
+        let is_rival = |other: &RequestRecord| {
+            suspect.counted.len() <= other.counted.len()
+                && suspect.counted.iter().any(|c| other.counted.contains(c))
         };
         let others = self.suspects.iter().filter(|(f, s)| **f != fingerprint && is_rival(s));
         others.map(|(f, s)| s.rank(*f)).collect()
@@ -271,7 +289,7 @@
             return;
         }
         self.expire(now);
-        let least = self.suspects.iter().min_by_key(|(_, s)| (s.crashes.len(), s.last_news));
+        let least = self.suspects.iter().min_by_key(|(_, s)| (s.counted.len(), s.last_news));
         if MAX_REQUESTS <= self.suspects.len()
             && let Some(least) = least.map(|(f, _)| *f)
         {
@@ -283,9 +301,9 @@
 /// Order in which requests run that may have caused the same crashes.
 type Rank = (Reverse<usize>, Fingerprint);
 
-impl Suspect {
+impl RequestRecord {
     fn rank(&self, fingerprint: Fingerprint) -> Rank {
-        (Reverse(self.crashes.len()), fingerprint)
+        (Reverse(self.counted.len()), fingerprint)
     }
 
     fn is_settled(&self, now: Instant) -> bool {
@@ -296,25 +314,8 @@
         self.last_news + FORGET_AFTER <= now
     }
 
-    fn merge(&mut self, now: Instant, report: &CrashReport) -> bool {
-        let mut changed = false;
-        for cleared in &report.cleared {
-            if !self.cleared.contains(cleared) {
-                self.cleared.push(*cleared);
-                changed = true;
-            }
-        }
-        let surplus = self.cleared.len().saturating_sub(MAX_CLEARED);
-        let forgotten: Vec<CrashId> = self.cleared.drain(..surplus).collect();
-        self.crashes.retain(|c| !self.cleared.contains(c) && !forgotten.contains(c));
-        for crash in &report.crashes {
-            let known = self.crashes.contains(crash) || self.cleared.contains(crash);
-            if !known && !forgotten.contains(crash) && self.crashes.len() < MAX_CRASHES {
-                self.crashes.push(*crash);
-                self.last_crash = now;
-                changed = true;
-            }
-        }
-        changed
+    fn count(&mut self, explained: &HashSet<CrashId>) {
+        let crashes = self.set.crashes().iter().copied();
+        self.counted = crashes.filter(|c| !explained.contains(c)).collect();
     }
 }
