Reports, store and log lines of the crashes name their suspect

Cause: log lines, gossip and store know one kind of suspect, a whole request. With segments of prompts as suspects an on-call engineer could not tell which of them is meant, from whom it was learned and why a request is refused.

Change: `suspect=request:HEX` or `suspect=segment:HEX` in suspect, suspect_learned, suspect_cleared, and the likeliest one with its crashes in sent and refused; `blamed=` tells whether it explains its crashes. Segments get lines from the second crash on. The gossip report gets a kind (default: request; unknown kinds are dropped), the store keys `segment-HEX`. Datagrams of reports are filled by size, not by count, since a report on a segment may hold 32 crashes. The gate is still told of no segments, so decisions are unchanged.

--- a/src/core/forwarding/requirements.rs
+++ b/src/core/forwarding/requirements.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::core::ids::ModelName;
+use crate::core::ids::{ModelName, SegmentId};
 
 /// A segment of a prompt that other requests may share, so that an engine can reuse
 /// its KV cache.
@@ -30,6 +30,12 @@
 }
 
 impl Requirements {
+    /// Ids of the segments of the prompt but the last, which is the request's own.
+    pub fn leading_segments(&self) -> Vec<SegmentId> {
+        let leading = self.prompt_segments.split_last().map_or(&[][..], |(_, leading)| leading);
+        leading.iter().map(|s| s.id).collect()
+    }
+
     /// KV cache tokens that the request occupies when its response is complete.
     pub fn kv_tokens(&self) -> u64 {
         u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
--- a/src/core/quarantine/segment_history.rs
+++ b/src/core/quarantine/segment_history.rs
@@ -91,6 +91,11 @@
         self.records.get(&segment).map_or(0, |r| r.set.len())
     }
 
+    /// Time since the last crash that was learned.
+    pub fn age(&self, now: Instant, segment: SegmentId) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.records.get(&segment)?.last_crash))
+    }
+
     /// Whether crashes are attributed to the segment, so that it must not run.
     pub fn is_blamed(&self, segment: SegmentId) -> bool {
         self.blame.segments.contains(&segment)
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -12,12 +12,13 @@
 use crate::{
     core::{
         forwarding::{EndpointState, Registration},
-        ids::{CrashId, Fingerprint},
+        ids::CrashId,
         quarantine::Suspect,
     },
     gateway::{
         run::{RunTarget, crash_id},
         shared::{SharedState, State},
+        suspects::Label,
         upstream::Connection,
     },
     telemetry::names,
@@ -27,7 +28,8 @@
 const CRASH_CHECK_DELAY: Duration = Duration::from_millis(100);
 
 /// Checks in the background whether the endpoint still accepts connections, unless that is
-/// in progress. If not, a crash is counted against each request that ran there.
+/// in progress. If not, a crash is counted against the
+/// requests that ran there and segments of their prompts.
 pub(super) fn start(shared: &Arc<SharedState>, target: &RunTarget) {
     if shared.lock().crash_checks.insert(target.crash) {
         tokio::spawn(run(shared.clone(), target.clone()));
@@ -43,10 +45,12 @@
         let mut state = shared.lock();
         let crashed = state.has_crashed(&target, is_listening);
         let now = Instant::now();
-        let counted = requests(state.gate.resolve(now, target.crash, &checked, crashed));
+        let changed = state.gate.resolve(now, target.crash, &checked, crashed);
         if crashed {
             state.dispatcher.avoid(now, &target.endpoint);
-            log_crash(&state, &target.endpoint, target.crash, &counted);
+            state.log_crash(now, &target.endpoint, target.crash, &changed);
+        } else {
+            state.log_cleared(now, &changed, &target.endpoint);
         }
         let again = state.gate.needs_check(target.crash);
         if !again {
@@ -56,7 +60,7 @@
         if crashed {
             shared.pool.close_all(target.address);
         }
-        shared.publish_crashes(&counted);
+        shared.publish_crashes(&changed);
         if !again {
             return;
         }
@@ -74,8 +78,8 @@
     }
 
     /// Counts crashes that a new registration shows: an endpoint that was not draining was
-    /// started again, or another one has its address. Returns the requests.
-    pub(super) fn record_restart(&mut self, now: Instant, new: &Registration) -> Vec<Fingerprint> {
+    /// started again, or another one has its address. Returns the suspects.
+    pub(super) fn record_restart(&mut self, now: Instant, new: &Registration) -> Vec<Suspect> {
         let replaced = self.registry.iter().filter(|e| {
             let old = &e.registration;
             let same_place = old.id == new.id || old.address == new.address;
@@ -86,31 +90,32 @@
         let mut all_counted = Vec::new();
         for (endpoint, started_ms) in replaced {
             let crash = crash_id(&endpoint, started_ms);
-            let counted = requests(self.gate.resolve(now, crash, &[], true));
+            let counted = self.gate.resolve(now, crash, &[], true);
             if !counted.is_empty() {
-                log_crash(self, &endpoint, crash, &counted);
+                self.log_crash(now, &endpoint, crash, &counted);
             }
             all_counted.extend(counted);
         }
         all_counted
     }
-}
-
-fn requests(suspects: Vec<Suspect>) -> Vec<Fingerprint> {
-    suspects.into_iter().filter_map(Suspect::request).collect()
-}
 
-fn log_crash(state: &State, endpoint: &str, crash: CrashId, counted: &[Fingerprint]) {
-    warn!(
-        "event=endpoint_crashed endpoint={endpoint} crash={crash:016x} suspects={}",
-        counted.len()
-    );
-    for fingerprint in counted {
-        let crashes = state.gate.history().crashes(*fingerprint);
-        info!(
-            "event=suspect fingerprint={fingerprint:016x} crashes={crashes} crash={crash:016x} \
-             endpoint={endpoint}"
+    /// Logs a crash and the suspects against which it was counted.
+    fn log_crash(&self, now: Instant, endpoint: &str, crash: CrashId, counted: &[Suspect]) {
+        let segments = counted.iter().filter_map(|s| s.segment()).count();
+        let requests = counted.len() - segments;
+        warn!(
+            "event=endpoint_crashed endpoint={endpoint} crash={crash:016x} requests={requests} \
+             segments={segments}"
         );
-        counter!(names::SUSPECTED_CRASHES).increment(1);
+        for suspect in counted.iter().filter(|s| self.is_logged(**s)) {
+            info!(
+                "event=suspect suspect={} crashes={} blamed={} crash={crash:016x} \
+                 endpoint={endpoint}",
+                Label(Some(*suspect)),
+                self.gate.crashes(*suspect),
+                self.is_blamed(now, *suspect),
+            );
+            counter!(names::SUSPECTED_CRASHES).increment(1);
+        }
     }
 }
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashSet,
+    fmt,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -9,22 +10,19 @@
 use log::info;
 
 use crate::{
-    core::{
-        ids::Fingerprint,
-        quarantine::{self, RunGate, Suspect},
+    core::quarantine::{self, RunGate, Suspect},
+    gateway::{
+        shared::{SharedState, State},
+        suspects::Label,
     },
-    gateway::shared::SharedState,
     gossip::{CrashReport, CrashReports},
 };
 
-/// How long news of a request that may have crashed endpoints is repeated to peers:
-/// several broadcasts, since datagrams may be lost.
+/// How long news of a suspect is repeated to peers: several broadcasts, since datagrams may be lost.
 const REPEAT_FOR: Duration = Duration::from_secs(5);
-/// Requests with this many crashes are reported as long as they are remembered, each by one
+/// Suspects with this many crashes are reported as long as they are remembered, each by one
 /// gateway.
 const MIN_CRASHES_ALWAYS_REPORTED: usize = 2;
-/// Most reports in one datagram.
-const MAX_REPORTS_PER_DATAGRAM: usize = 9;
 /// Most datagrams of reports to one peer at a time.
 const MAX_DATAGRAMS: usize = 12;
 
@@ -73,29 +71,46 @@
     let now = Instant::now();
     let mut state = shared.lock();
     for report in reports.reports {
-        let fingerprint = report.fingerprint;
-        let before = state.gate.crashes(Suspect::Request(fingerprint));
-        if state.gate.merge(now, &report.into()) {
-            let crashes = state.gate.crashes(Suspect::Request(fingerprint));
-            info!(
-                "event=suspect_learned fingerprint={fingerprint:016x} crashes={crashes} \
-                 before={before} from={from}"
-            );
+        // A later version may know other kinds of suspects.
+        if let Ok(report) = quarantine::CrashReport::try_from(report) {
+            state.learn(now, &report, from);
         }
     }
     drop(state);
     shared.runs_changed.notify_waiters();
 }
 
+impl State {
+    /// Merges a report of another process and logs what is new.
+    pub(super) fn learn(
+        &mut self,
+        now: Instant,
+        report: &quarantine::CrashReport,
+        from: impl fmt::Display,
+    ) {
+        let suspect = report.suspect;
+        let before = self.gate.crashes(suspect);
+        if self.gate.merge(now, report) && self.is_logged(suspect) {
+            info!(
+                "event=suspect_learned suspect={} crashes={} before={before} blamed={} \
+                 from={from}",
+                Label(Some(suspect)),
+                self.gate.crashes(suspect),
+                self.is_blamed(now, suspect),
+            );
+        }
+    }
+}
+
 impl SharedState {
-    /// Notes that the crashes of requests changed here: other gateways, the store and
+    /// Notes that the crashes of suspects changed here: other gateways, the store and
     /// waiting requests learn of it.
-    pub(super) fn publish_crashes(&self, fingerprints: &[Fingerprint]) {
-        if fingerprints.is_empty() {
+    pub(super) fn publish_crashes(&self, suspects: &[Suspect]) {
+        if suspects.is_empty() {
             return self.runs_changed.notify_waiters();
         }
         let mut state = self.lock();
-        let unsaved = fingerprints.iter().filter(|f| state.record_change(**f)).count();
+        let unsaved = suspects.iter().filter(|s| state.record_change(**s)).count();
         drop(state);
         if 0 < unsaved {
             self.report_unsaved.notify_one();
@@ -106,8 +121,8 @@
 }
 
 fn datagrams(reports: Vec<quarantine::CrashReport>) -> Vec<CrashReports> {
-    let reports: Vec<CrashReport> =
-        reports.into_iter().filter_map(CrashReport::of_request).collect();
-    let chunks = reports.chunks(MAX_REPORTS_PER_DATAGRAM).take(MAX_DATAGRAMS);
-    chunks.map(|c| CrashReports { reports: c.to_vec() }).collect()
+    let reports: Vec<CrashReport> = reports.into_iter().map(CrashReport::from).collect();
+    let mut datagrams = CrashReports::batches(reports);
+    datagrams.truncate(MAX_DATAGRAMS);
+    datagrams
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod request;
 mod run;
 mod shared;
+mod suspects;
 mod upstream;
 
 pub use process::{Gateway, GatewayConfig, Listeners, start};
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,7 +19,6 @@
     core::{
         forwarding::{Endpoint, EndpointSubset, LoadReport, Locality, ModelRef, WantedAdapter},
         ids::EndpointId,
-        quarantine::Suspect,
     },
     gateway::{
         crash_reports::{self, CrashReporter},
@@ -248,9 +247,8 @@
         state.dispatcher.set_subset(EndpointSubset::new(position, count));
         state.gate.set_position(position, count);
         // One gateway deletes what all have forgotten.
-        let forgotten = state.gate.expire(now).into_iter().filter_map(Suspect::request);
-        let mut forgotten: Vec<_> = forgotten.collect();
-        forgotten.retain(|f| position == 0 && state.record_change(*f));
+        let mut forgotten = state.gate.expire(now);
+        forgotten.retain(|suspect| position == 0 && state.record_change(*suspect));
         if !forgotten.is_empty() {
             shared.report_unsaved.notify_one();
         }
--- a/src/gateway/quarantine_store.rs
+++ b/src/gateway/quarantine_store.rs
@@ -1,30 +1,35 @@
-//! Keeps requests that crashed several endpoints in the store, so that they are not
-//! forgotten when all gateways restart.
+//! Keeps the suspects of several crashes in the store, so that they are not forgotten when
+//! all gateways restart.
 
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use log::{info, warn};
+use log::warn;
 use metrics::counter;
-use prost::Message;
+use prost::{Message, UnknownEnumValue};
 use tokio::time;
 
 use crate::{
-    core::ids::Fingerprint,
+    core::quarantine::{self, Suspect},
     fleet::TopicHandler,
-    gateway::shared::{SharedState, State},
+    gateway::{
+        shared::{SharedState, State},
+        suspects::Label,
+    },
     gossip::CrashReport,
     platform::{KeyedRecord, QUARANTINE, Store, Topic},
     telemetry::names,
 };
 
-/// Requests with fewer crashes are not saved. A restart of all gateways then forgets one
-/// crash of a request at most.
+/// Suspects with fewer crashes are not saved. A restart of all gateways then forgets one
+/// crash of a suspect at most.
 const MIN_SAVED_CRASHES: usize = 2;
 /// Longest time that a read waits for records, which are rare.
 const MAX_WAIT: Duration = Duration::from_secs(20);
+/// Distinguishes the keys of segments from those of requests, which are bare fingerprints.
+const SEGMENT_KEY_PREFIX: &str = "segment-";
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Merges the saved reports of all gateways.
@@ -38,25 +43,17 @@
         let now = Instant::now();
         let mut state = self.shared.lock();
         for record in records {
-            let Some(fingerprint) = parse_key(&record.key) else {
+            let Some(suspect) = parse_key(&record.key) else {
                 warn!("event=quarantine_unreadable key={}", record.key);
                 continue;
             };
             let Some(value) = record.value else {
-                state.saved_reports.remove(&fingerprint);
+                state.saved_reports.remove(&suspect);
                 continue;
             };
-            state.saved_reports.insert(fingerprint);
-            match CrashReport::decode(value) {
-                Ok(report) => {
-                    let crashes = report.crashes.len();
-                    if state.gate.merge(now, &report.into()) {
-                        info!(
-                            "event=suspect_learned fingerprint={fingerprint:016x} \
-                             crashes={crashes} before=- from=store"
-                        );
-                    }
-                }
+            state.saved_reports.insert(suspect);
+            match decode(&value) {
+                Ok(report) => state.learn(now, &report, "store"),
                 Err(err) => warn!("event=quarantine_unreadable key={} error=\"{err}\"", record.key),
             }
         }
@@ -83,52 +80,62 @@
 pub(super) async fn save_reports(shared: Arc<SharedState>, store: Store) {
     loop {
         let next = shared.lock().unsaved_reports.iter().next().copied();
-        let Some(fingerprint) = next else {
+        let Some(suspect) = next else {
             shared.report_unsaved.notified().await;
             continue;
         };
-        let report = shared.lock().report_to_save(fingerprint);
+        let report = shared.lock().report_to_save(suspect);
         let value = report.clone().map(|r| r.encode_to_vec()).unwrap_or_default();
         counter!(names::STORE_CALLS).increment(1);
-        if let Err(err) = store.put(QUARANTINE, &key(fingerprint), &value).await {
+        if let Err(err) = store.put(QUARANTINE, &key(suspect), &value).await {
             counter!(names::STORE_FAILURES).increment(1);
-            warn!("event=quarantine_unsaved fingerprint={fingerprint:016x} error=\"{err}\"");
+            warn!("event=quarantine_unsaved suspect={} error=\"{err}\"", Label(Some(suspect)));
             time::sleep(RETRY_DELAY).await;
             continue;
         }
         let mut state = shared.lock();
         // It may have changed during the call.
-        if state.report_to_save(fingerprint) == report {
-            state.unsaved_reports.remove(&fingerprint);
+        if state.report_to_save(suspect) == report {
+            state.unsaved_reports.remove(&suspect);
         }
         if report.is_some() {
-            state.saved_reports.insert(fingerprint);
+            state.saved_reports.insert(suspect);
         }
     }
 }
 
 impl State {
-    /// Notes that a crash was counted against a request or cleared here. Returns whether
+    /// Notes that a crash was counted against a suspect or cleared here. Returns whether
     /// that has to be saved.
-    pub(super) fn record_change(&mut self, fingerprint: Fingerprint) -> bool {
+    pub(super) fn record_change(&mut self, suspect: Suspect) -> bool {
         let has_to_be_saved =
-            self.report_to_save(fingerprint).is_some() || self.saved_reports.contains(&fingerprint);
-        has_to_be_saved && self.unsaved_reports.insert(fingerprint)
+            self.report_to_save(suspect).is_some() || self.saved_reports.contains(&suspect);
+        has_to_be_saved && self.unsaved_reports.insert(suspect)
     }
 
     /// The record to keep in the store; `None` if there must be none.
-    fn report_to_save(&self, fingerprint: Fingerprint) -> Option<CrashReport> {
-        let report = self.gate.history().report(fingerprint)?;
-        (MIN_SAVED_CRASHES <= report.crashes.len())
-            .then_some(report)
-            .and_then(CrashReport::of_request)
+    fn report_to_save(&self, suspect: Suspect) -> Option<CrashReport> {
+        let report = self.gate.report(suspect)?;
+        (MIN_SAVED_CRASHES <= report.crashes.len()).then(|| report.into())
     }
 }
 
-fn key(fingerprint: Fingerprint) -> String {
-    format!("{fingerprint:016x}")
+fn decode(value: &[u8]) -> Result<quarantine::CrashReport, String> {
+    let report = CrashReport::decode(value).map_err(|e| e.to_string());
+    report.and_then(|r| r.try_into().map_err(|e: UnknownEnumValue| e.to_string()))
 }
 
-fn parse_key(key: &str) -> Option<Fingerprint> {
-    Fingerprint::from_str_radix(key, 16).ok()
+fn key(suspect: Suspect) -> String {
+    match suspect {
+        Suspect::Request(fingerprint) => format!("{fingerprint:016x}"),
+        Suspect::Segment(segment) => format!("{SEGMENT_KEY_PREFIX}{segment:016x}"),
+    }
+}
+
+fn parse_key(key: &str) -> Option<Suspect> {
+    let parse = |text| u64::from_str_radix(text, 16).ok();
+    match key.strip_prefix(SEGMENT_KEY_PREFIX) {
+        Some(segment) => parse(segment).map(Suspect::Segment),
+        None => parse(key).map(Suspect::Request),
+    }
 }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -25,6 +25,7 @@
         attempt::{DEADLINE_SLACK, EndpointResponse, MAX_RESPONSE_BYTES},
         refusals, relay,
         shared::SharedState,
+        suspects::Label,
     },
     http::{ClientAddress, Reply, ReplyBody},
     platform::{self, RequestHead},
@@ -226,9 +227,10 @@
             *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         }
         counter!(names::REFUSALS, "code" => refusal.code.name()).increment(1);
+        let (suspect, crashes) = self.likeliest_suspect();
         info!(
-            "event=refused id={} fingerprint={:016x} code={} outcome={} retry_after_ms={} version={} \
-             why=\"{}\"",
+            "event=refused id={} fingerprint={:016x} suspect={suspect} crashes={crashes} code={} \
+             outcome={} retry_after_ms={} version={} why=\"{}\"",
             self.id(),
             self.fingerprint,
             refusal.code.number(),
@@ -241,12 +243,23 @@
         reply
     }
 
+    /// The likeliest suspect of crashes that the request involves, and the number of its
+    /// crashes, for the log.
+    fn likeliest_suspect(&self) -> (Label, usize) {
+        let segments = self.requirements.leading_segments();
+        let state = self.shared.lock();
+        let found = state.likeliest_suspect(Instant::now(), self.fingerprint, &segments);
+        found.map_or((Label(None), 0), |(suspect, crashes)| (Label(Some(suspect)), crashes))
+    }
+
     /// Logs the chosen endpoint with the load figures behind the choice.
     pub(super) fn log_sent(&self, endpoint: &EndpointId) {
         let now = Instant::now();
         let load = self.shared.lock().dispatcher.load(endpoint).clone();
+        let (suspect, crashes) = self.likeliest_suspect();
         info!(
-            "event=sent id={} fingerprint={:016x} endpoint={endpoint} attempt={} waited_ms={} \
+            "event=sent id={} fingerprint={:016x} suspect={suspect} crashes={crashes} \
+             endpoint={endpoint} attempt={} waited_ms={} \
              left_ms={} tokens={} running={} unread={} reading={:.0} report_ms={} pace={:.1}",
             self.id(),
             self.fingerprint,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -6,14 +6,13 @@
     time::{Duration, Instant},
 };
 
-use log::info;
 use tokio::time;
 
 use crate::{
     core::{
         hash,
-        ids::{CrashId, EndpointId, Fingerprint},
-        quarantine::{RunEnd, RunId, RunPermit, Suspect},
+        ids::{CrashId, EndpointId},
+        quarantine::{RunEnd, RunId, RunPermit},
     },
     errors::{Code, Refusal},
     gateway::{crash_check, request::ProxiedRequest, shared::SharedState},
@@ -45,7 +44,6 @@
     shared: Arc<SharedState>,
     run: RunId,
     target: RunTarget,
-    fingerprint: Fingerprint,
     ended: bool,
 }
 
@@ -77,21 +75,11 @@
         }
         let now = Instant::now();
         let mut state = self.shared.lock();
-        let age = state.gate.history().age(now, self.fingerprint).unwrap_or_default();
-        let crashes = state.gate.crashes(Suspect::Request(self.fingerprint));
         let ended = state.gate.end(now, self.run, end);
-        let left = state.gate.crashes(Suspect::Request(self.fingerprint));
+        state.log_cleared(now, &ended.cleared, &self.target.endpoint);
         drop(state);
-        let cleared: Vec<_> = ended.cleared.into_iter().filter_map(Suspect::request).collect();
-        if !cleared.is_empty() {
-            info!(
-                "event=suspect_cleared fingerprint={:016x} crashes={} age_ms={} endpoint={}",
-                self.fingerprint,
-                crashes - left,
-                age.as_millis(),
-                self.target.endpoint,
-            );
-            self.shared.publish_crashes(&cleared);
+        if !ended.cleared.is_empty() {
+            self.shared.publish_crashes(&ended.cleared);
         }
         if ended.needs_check {
             crash_check::start(&self.shared, &self.target);
@@ -134,8 +122,7 @@
         let target = state.run_target(endpoint, address);
         let run = state.gate.start(Instant::now(), self.fingerprint, &[], target.crash).ok()?;
         drop(state);
-        let (shared, fingerprint) = (self.shared.clone(), self.fingerprint);
-        Some(RunGuard { shared, run, target, fingerprint, ended: false })
+        Some(RunGuard { shared: self.shared.clone(), run, target, ended: false })
     }
 
     fn quarantined(&self) -> Refusal {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -16,9 +16,9 @@
             Decision, Dispatcher, EndpointRegistry, Locality, REREGISTRATION_GRACE, RefusalReason,
             Requirements, RetryBudget, Route, RouteTable, ServiceName, Ticket,
         },
-        ids::{CrashId, EndpointId, Fingerprint},
+        ids::{CrashId, EndpointId},
         placement::DemandMeter,
-        quarantine::RunGate,
+        quarantine::{RunGate, Suspect},
     },
     gateway::{
         bootstrap::StoreCache,
@@ -65,10 +65,10 @@
     store_unavailable: bool,
     store_recovered_at: Option<Instant>,
     shutting_down: bool,
-    // Requests whose crashes are in the store.
-    pub(super) saved_reports: HashSet<Fingerprint>,
-    // Requests whose crashes changed here and have yet to be written to the store.
-    pub(super) unsaved_reports: HashSet<Fingerprint>,
+    // Suspects whose crashes are in the store.
+    pub(super) saved_reports: HashSet<Suspect>,
+    // Suspects whose crashes changed here and have yet to be written to the store.
+    pub(super) unsaved_reports: HashSet<Suspect>,
     // The saved crashes were read since the start.
     pub(super) knows_quarantines: bool,
     // Endpoint starts that are being checked for a crash.
@@ -185,23 +185,26 @@
         !self.lock().crash_checks.is_empty()
     }
 
-    /// Number of requests that are quarantined because they crashed endpoints.
-    pub fn quarantined_requests(&self) -> usize {
+    /// Number of requests and segments of prompts that are quarantined because they crashed
+    /// endpoints.
+    pub fn quarantined_suspects(&self) -> usize {
         self.lock().gate.quarantined(Instant::now())
     }
 
-    /// Number of crashes counted against all requests.
+    /// Number of crashes counted against all suspects.
     pub fn counted_crashes(&self) -> usize {
-        let reports = self.lock().gate.history().reports(|_, _, _| true);
-        reports.iter().map(|r| r.crashes.len()).sum()
+        let state = self.lock();
+        let requests = state.gate.history().reports(|_, _, _| true);
+        let segments = state.gate.segments().reports(|_, _, _| true);
+        requests.iter().chain(&segments).map(|r| r.crashes.len()).sum()
     }
 
-    /// Number of requests whose crashes have yet to be written to the store.
+    /// Number of suspects whose crashes have yet to be written to the store.
     pub fn unsaved_reports(&self) -> usize {
         self.lock().unsaved_reports.len()
     }
 
-    /// Whether the crashes of requests were read from the store since the start.
+    /// Whether the crashes of suspects were read from the store since the start.
     pub fn knows_quarantines(&self) -> bool {
         self.lock().knows_quarantines
     }
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -1,13 +1,21 @@
 //! Gossip messages, encoded as protocol buffers. Fields are only ever added, so that
 //! processes of different versions understand each other.
 
-use prost::Message;
+use prost::{Message, UnknownEnumValue};
 
-use crate::core::{
-    forwarding::{self, LoadReport, Residency},
-    quarantine,
+use crate::{
+    core::{
+        forwarding::{self, LoadReport, Residency},
+        quarantine::{self, Suspect},
+    },
+    gossip::MAX_DATAGRAM_BYTES,
 };
 
+/// Bytes in a datagram of [`CrashReports`] beside the reports, at most.
+const DATAGRAM_FRAMING_BYTES: usize = 3;
+/// Bytes in front of each report: a tag and its length.
+const REPORT_FRAMING_BYTES: usize = 3;
+
 /// Envelope of every datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
@@ -270,40 +278,82 @@
     pub waiting: u32,
 }
 
-/// Requests that may have crashed endpoints.
+/// Suspects of crashes of endpoints.
 #[derive(Clone, PartialEq, Message)]
 pub struct CrashReports {
-    /// One report for each request.
+    /// One report for each suspect.
     #[prost(message, repeated, tag = "1")]
     pub reports: Vec<CrashReport>,
 }
 
-/// The crashes of endpoints while one request ran there.
+impl CrashReports {
+    /// Distributes reports over messages that fit into a datagram each.
+    pub fn batches(reports: impl IntoIterator<Item = CrashReport>) -> Vec<Self> {
+        let mut batches: Vec<Self> = Vec::new();
+        let mut bytes_left = 0;
+        for report in reports {
+            let bytes = report.encoded_len() + REPORT_FRAMING_BYTES;
+            match batches.last_mut().filter(|_| bytes <= bytes_left) {
+                Some(batch) => batch.reports.push(report),
+                None => {
+                    batches.push(Self { reports: vec![report] });
+                    bytes_left = MAX_DATAGRAM_BYTES - DATAGRAM_FRAMING_BYTES;
+                }
+            }
+            bytes_left = bytes_left.saturating_sub(bytes);
+        }
+        batches
+    }
+}
+
+/// The crashes of endpoints that one suspect may have caused.
 #[derive(Clone, PartialEq, Message)]
 pub struct CrashReport {
-    /// Fingerprint of the request.
+    /// Fingerprint of the request or id of the segment.
     #[prost(fixed64, tag = "1")]
-    pub fingerprint: u64,
+    pub id: u64,
     /// Crashes that it may have caused.
     #[prost(fixed64, repeated, tag = "2")]
     pub crashes: Vec<u64>,
-    /// Crashes that a complete run of it has cleared.
+    /// Crashes that a later run of it has cleared.
     #[prost(fixed64, repeated, tag = "3")]
     pub cleared: Vec<u64>,
+    /// What the suspect is, a [`SuspectKind`].
+    #[prost(enumeration = "SuspectKind", tag = "4")]
+    pub kind: i32,
 }
 
-impl CrashReport {
-    /// The report on a request; `None` if the suspect is of another kind.
-    pub fn of_request(report: quarantine::CrashReport) -> Option<Self> {
+/// Kinds of suspects of a crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum SuspectKind {
+    /// A whole request.
+    Request = 0,
+    /// A segment of a prompt.
+    Segment = 1,
+}
+
+impl From<quarantine::CrashReport> for CrashReport {
+    fn from(report: quarantine::CrashReport) -> Self {
         let quarantine::CrashReport { suspect, crashes, cleared } = report;
-        Some(Self { fingerprint: suspect.request()?, crashes, cleared })
+        let (kind, id) = match suspect {
+            Suspect::Request(fingerprint) => (SuspectKind::Request, fingerprint),
+            Suspect::Segment(segment) => (SuspectKind::Segment, segment),
+        };
+        Self { id, crashes, cleared, kind: kind.into() }
     }
 }
 
-impl From<CrashReport> for quarantine::CrashReport {
-    fn from(report: CrashReport) -> Self {
-        let CrashReport { fingerprint, crashes, cleared } = report;
-        Self { suspect: quarantine::Suspect::Request(fingerprint), crashes, cleared }
+impl TryFrom<CrashReport> for quarantine::CrashReport {
+    type Error = UnknownEnumValue;
+
+    fn try_from(report: CrashReport) -> Result<Self, UnknownEnumValue> {
+        let CrashReport { id, crashes, cleared, kind } = report;
+        let suspect = match SuspectKind::try_from(kind)? {
+            SuspectKind::Request => Suspect::Request(id),
+            SuspectKind::Segment => Suspect::Segment(id),
+        };
+        Ok(Self { suspect, crashes, cleared })
     }
 }
 
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -8,6 +8,6 @@
 
 pub use messages::{
     Body, CachedRecord, CachedRecords, ChangeKind, CrashReport, CrashReports, Datagram, Demand,
-    EngineLoad, EngineStatus, GatewayStatus, Hello, LoadedModel, ResidencyChange,
+    EngineLoad, EngineStatus, GatewayStatus, Hello, LoadedModel, ResidencyChange, SuspectKind,
 };
 pub use socket::{MAX_DATAGRAM_BYTES, Socket, rotating_subset};
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -282,7 +282,7 @@
         let seeds = vec![existing.peer_address.ip()];
         let joining = TestGateway::start_with(existing.log.clone(), address, seeds).await;
         joining.wait_for_version(1).await;
-        joining.wait_until(|g| 0 < g.process.shared().quarantined_requests()).await;
+        joining.wait_until(|g| 0 < g.process.shared().quarantined_suspects()).await;
         assert_eq!(joining.send("POST", "/read/1", "", POISON).await.status, 503);
         assert_eq!(crashed(&endpoints), before);
     });
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -1,9 +1,14 @@
 //! Messages of the largest deployments must fit into one datagram: a larger message is
 //! dropped by the sender, each time.
 
-use goldcrestpitch::gossip::{
-    Body, ChangeKind, CrashReport, CrashReports, Datagram, Demand, EngineStatus, GatewayStatus,
-    Hello, LoadedModel, MAX_DATAGRAM_BYTES, ResidencyChange,
+use std::time::Instant;
+
+use goldcrestpitch::{
+    core::quarantine::{self, SegmentHistory, Suspect},
+    gossip::{
+        Body, ChangeKind, CrashReport, CrashReports, Datagram, Demand, EngineStatus, GatewayStatus,
+        Hello, LoadedModel, MAX_DATAGRAM_BYTES, ResidencyChange, SuspectKind,
+    },
 };
 use prost::Message;
 
@@ -40,9 +45,10 @@
 #[test]
 fn crash_reports_fit_a_datagram() {
     let report = |i| CrashReport {
-        fingerprint: u64::MAX - i,
+        id: u64::MAX - i,
         crashes: vec![u64::MAX; 8],
         cleared: vec![u64::MAX; 8],
+        kind: SuspectKind::Request.into(),
     };
     let reports = CrashReports { reports: (0..9).map(report).collect() };
     let bytes = encoded_size(Body::CrashReports(reports));
@@ -55,6 +61,88 @@
     assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}");
 }
 
+fn segment_report(crashes: usize, cleared: usize) -> CrashReport {
+    CrashReport {
+        id: u64::MAX,
+        crashes: vec![u64::MAX; crashes],
+        cleared: vec![u64::MAX; cleared],
+        kind: SuspectKind::Segment.into(),
+    }
+}
+
+/// The largest report that a gateway can have on a segment.
+fn largest_segment_report() -> CrashReport {
+    let mut history = SegmentHistory::new(5);
+    let now = Instant::now();
+    for crash in 0..1000 {
+        history.record_crash(now, 7, crash);
+    }
+    history.record_sound(now, 7, true);
+    for crash in 1000..2000 {
+        history.record_crash(now, 7, crash);
+    }
+    history.report(7).unwrap().into()
+}
+
+#[test]
+fn reports_of_any_size_are_distributed_over_datagrams() {
+    let largest = largest_segment_report();
+    println!(
+        "a report on a segment: {} bytes after one crash, {} after five, {} at most",
+        segment_report(1, 0).encoded_len(),
+        segment_report(5, 0).encoded_len(),
+        largest.encoded_len()
+    );
+    for report in [segment_report(1, 0), segment_report(5, 0), largest] {
+        let batches = CrashReports::batches(vec![report.clone(); 100]);
+        let count: usize = batches.iter().map(|b| b.reports.len()).sum();
+        assert_eq!(count, 100);
+        let per_datagram = batches[0].reports.len();
+        println!("{per_datagram} reports of {} bytes in a datagram", report.encoded_len());
+        for batch in &batches {
+            let bytes = encoded_size(Body::CrashReports(batch.clone()));
+            assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}");
+        }
+    }
+}
+
+#[test]
+fn report_without_a_kind_is_of_a_request() {
+    /// The report as versions encoded it that knew requests only.
+    #[derive(Clone, PartialEq, Message)]
+    struct OldCrashReport {
+        #[prost(fixed64, tag = "1")]
+        fingerprint: u64,
+        #[prost(fixed64, repeated, tag = "2")]
+        crashes: Vec<u64>,
+        #[prost(fixed64, repeated, tag = "3")]
+        cleared: Vec<u64>,
+    }
+    let old = OldCrashReport { fingerprint: 7, crashes: vec![1, 2], cleared: vec![3] };
+    let read = CrashReport::decode(old.encode_to_vec().as_slice()).unwrap();
+    let report = quarantine::CrashReport::try_from(read).unwrap();
+    assert_eq!(report.suspect, Suspect::Request(7));
+    assert_eq!((report.crashes, report.cleared), (vec![1, 2], vec![3]));
+}
+
+#[test]
+fn report_on_a_segment_is_read_as_such() {
+    let report = quarantine::CrashReport {
+        suspect: Suspect::Segment(7),
+        crashes: vec![1],
+        cleared: vec![2],
+    };
+    let sent = CrashReport::from(report.clone()).encode_to_vec();
+    let read = CrashReport::decode(sent.as_slice()).unwrap();
+    assert_eq!(quarantine::CrashReport::try_from(read), Ok(report));
+}
+
+#[test]
+fn report_of_an_unknown_kind_is_no_report_of_a_request() {
+    let unknown = CrashReport { kind: 99, ..segment_report(1, 0) };
+    assert!(quarantine::CrashReport::try_from(unknown).is_err());
+}
+
 #[test]
 fn status_of_a_full_engine_fits_a_datagram() {
     let loaded = |i| LoadedModel {
