--- a/src/core/quarantine/blame.rs
+++ b/src/core/quarantine/blame.rs
@@ -4,6 +4,11 @@
 
 use crate::core::ids::{CrashId, SegmentId};
 
+/// Crashes that blamed segments leave unexplained after which a segment that was never
+/// sound is blamed too, if it has as many as the limit in all: two causes that run at the
+/// same endpoints share crashes. With one more in flight, the platform's rules allow three.
+const MIN_UNEXPLAINED: usize = 2;
+
 /// A segment that may have caused crashes.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Candidate<'a> {
@@ -37,15 +42,17 @@
 }
 
 impl Blame {
-    /// Blames one segment after the other that has at least `limit` crashes which those
-    /// before do not explain: first those that were never sound, then those that explain
-    /// most, then those that run least.
+    /// Blames one segment after the other, of those that have at least `limit` crashes: first
+    /// those that were never sound, then those with the most crashes that the segments before
+    /// do not explain, then those that run least. One that was sound needs `limit` crashes
+    /// that are not explained.
     pub(super) fn new(mut candidates: Vec<Candidate<'_>>, limit: usize) -> Self {
         let mut blame = Self::default();
         loop {
             candidates.retain_mut(|c| {
                 c.unexplained = blame.unexplained(c);
-                limit <= c.unexplained
+                let needed = if c.was_sound { limit } else { limit.min(MIN_UNEXPLAINED) };
+                needed <= c.unexplained
             });
             let likeliest = candidates
                 .iter()
--- a/src/core/quarantine/run_permit.rs
+++ b/src/core/quarantine/run_permit.rs
@@ -95,11 +95,10 @@
 
     /// Whether other requests that are a crash away from the limit must wait for this run.
     fn is_exclusive(&self, now: Instant, run: &Run) -> bool {
-        let ends_at_response =
-            self.history.unexplained(now, run.fingerprint) < self.history.limit();
+        let is_at_limit = || self.history.limit() <= self.history.unexplained(now, run.fingerprint);
         match run.state {
             RunState::Starting | RunState::Interrupted | RunState::Unconfirmed => run.last_chance,
-            RunState::Responding => run.last_chance && !ends_at_response,
+            RunState::Responding => run.last_chance && is_at_limit(),
             RunState::Ended { .. } => false,
         }
     }
