--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -217,6 +217,18 @@
 }
 
 /// Parses the head of an endpoint's response to the request with this id.
+///
+/// ```
+/// use goldcrestpitch::platform::parse_response_head;
+/// use hyper::{HeaderMap, StatusCode};
+/// let mut headers = HeaderMap::new();
+/// assert!(parse_response_head(StatusCode::OK, &headers, b"q1").ends_with_connection);
+/// assert!(!parse_response_head(StatusCode::NO_CONTENT, &headers, b"q1").ends_with_connection);
+/// headers.insert("transfer-encoding", "gzip, Chunked".parse().unwrap());
+/// assert!(!parse_response_head(StatusCode::OK, &headers, b"q1").ends_with_connection);
+/// headers.insert("transfer-encoding", "gzip".parse().unwrap());
+/// assert!(parse_response_head(StatusCode::OK, &headers, b"q1").ends_with_connection);
+/// ```
 pub fn parse_response_head(status: StatusCode, headers: &HeaderMap, id: &[u8]) -> ResponseHead {
     let not_run = match status {
         StatusCode::MISDIRECTED_REQUEST => Some(NotRunReason::Elsewhere),
@@ -249,7 +261,7 @@
 
 /// Whether the head tells where the body ends, by a length or by chunks.
 fn is_framed(headers: &HeaderMap) -> bool {
-    let codings = headers.get_all(header::TRANSFER_ENCODING).into_iter().last();
+    let codings = headers.get_all(header::TRANSFER_ENCODING).into_iter().next_back();
     let codings = codings.and_then(|v| v.to_str().ok());
     let last_coding = codings.and_then(|c| c.rsplit(',').next());
     let is_chunked = last_coding.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked"));
