Segments that ran along do not hide a second cause

Cause: segments that were never sound were ranked by crashes that others leave unexplained, so that new segments which ran along by chance explained crashes of a second cause. Change: they are ranked by all their crashes, of which the cause has most.

--- a/src/core/quarantine/blame.rs
+++ b/src/core/quarantine/blame.rs
@@ -31,6 +31,12 @@
     ) -> Self {
         Self { segment, crashes, was_sound, runs, unexplained: crashes.len() }
     }
+
+    /// What segments that ran along by chance explain does not lower the rank of one that was
+    /// never sound: they have fewer crashes than the cause.
+    fn weight(&self) -> usize {
+        if self.was_sound { self.unexplained } else { self.crashes.len() }
+    }
 }
 
 /// Segments to which crashes are attributed.
@@ -43,9 +49,9 @@
 
 impl Blame {
     /// Blames one segment after the other, of those that have at least `limit` crashes: first
-    /// those that were never sound, then those with the most crashes that the segments before
-    /// do not explain, then those that run least. One that was sound needs `limit` crashes
-    /// that are not explained.
+    /// those that were never sound, by their number of crashes, then those that explain most
+    /// of the rest, and of equal ones those that run least. One that was sound needs `limit`
+    /// crashes that the segments before do not explain.
     pub(super) fn new(mut candidates: Vec<Candidate<'_>>, limit: usize) -> Self {
         let mut blame = Self::default();
         loop {
@@ -56,7 +62,7 @@
             });
             let likeliest = candidates
                 .iter()
-                .min_by_key(|c| (c.was_sound, Reverse(c.unexplained), c.runs, c.segment));
+                .min_by_key(|c| (c.was_sound, Reverse(c.weight()), c.runs, c.segment));
             let Some(likeliest) = likeliest else { return blame };
             blame.segments.insert(likeliest.segment);
             blame.explained.extend(likeliest.crashes);
--- a/tests/segment_history.rs
+++ b/tests/segment_history.rs
@@ -262,6 +262,28 @@
     assert!(sends.iter().all(|s| *s <= 3), "{sends:?}");
 }
 
+/// New segments that ran beside two causes explain many of their crashes.
+#[test]
+fn segments_that_ran_along_do_not_hide_the_second_cause() {
+    let mut gateway = Gateway::with_sound_history();
+    let mut in_flight = Vec::new();
+    for i in 0..8 {
+        let cause = if i < 5 { BAD } else { OTHER_BAD };
+        let along = [CONVERSATIONS + 100 + i % 2, CONVERSATIONS + 102 + i % 3];
+        let endpoint = gateway.new_endpoint();
+        let mut runs = vec![gateway.start_at(&[FIRST, cause], endpoint)];
+        if 3 <= i {
+            runs.push(gateway.start_at(&[FIRST, OTHER_BAD], endpoint));
+        }
+        runs.extend(along.map(|s| gateway.start_at(&[FIRST, s], endpoint)));
+        in_flight.push((endpoint, runs));
+    }
+    for (endpoint, runs) in in_flight {
+        gateway.crash(endpoint, &runs);
+    }
+    assert_eq!(gateway.blamed(), [BAD, OTHER_BAD]);
+}
+
 #[test]
 fn unrelated_crashes_blame_no_segment_that_is_sound() {
     let mut gateway = Gateway::with_sound_history();
