--- a/src/core/quarantine/run_gate.rs
+++ b/src/core/quarantine/run_gate.rs
@@ -7,71 +7,13 @@
 };
 
 use crate::core::{
-    ids::{CrashId, Fingerprint},
-    quarantine::{CrashHistory, CrashReport, Verdict},
+    ids::{CrashId, Fingerprint, SegmentId},
+    quarantine::{
+        CrashHistory, CrashReport, RunEnd, RunId, RunOutcome, RunPermit, SegmentHistory, Suspect,
+        run::{Run, RunState},
+    },
 };
 
-/// Identifies a run within a process.
-pub type RunId = u64;
-
-/// How long a run is remembered after its caller has left, or after its endpoint was found
-/// alive. Within this time a registration shows whether the endpoint has restarted.
-const REMEMBERED_FOR: Duration = Duration::from_secs(3);
-
-/// Whether a run may start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunPermit {
-    /// It may start.
-    Allowed,
-    /// Not before another run has ended or a possible crash is confirmed or ruled out.
-    Wait,
-    /// It must not start: the request crashed too many endpoints.
-    Quarantined,
-}
-
-/// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunEnd {
-    /// The response is complete.
-    Completed,
-    /// The endpoint answered that it did not run the request or that it failed.
-    Failed,
-    /// The connection broke or the endpoint fell silent, perhaps because it crashed.
-    Interrupted,
-    /// The caller has left.
-    Abandoned,
-}
-
-/// What follows from the end of a run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RunOutcome {
-    /// Whether the endpoint has to be checked for a crash.
-    pub needs_check: bool,
-    /// Number of earlier crashes that no longer count against the request.
-    pub cleared: usize,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RunState {
-    Starting,
-    Responding,
-    // Its endpoint is being checked.
-    Interrupted,
-    // Its caller has left, or its endpoint was found alive.
-    Ended { since: Instant },
-}
-
-#[derive(Clone, Debug)]
-struct Run {
-    fingerprint: Fingerprint,
-    // The crash that the endpoint would suffer.
-    crash: CrashId,
-    known_crashes: Vec<CrashId>,
-    // One more crash would quarantine the request.
-    last_chance: bool,
-    state: RunState,
-}
-
 /// Decides which runs may start, from the crashes of all processes and the runs of this
 /// one.
 ///
@@ -82,46 +24,49 @@
 ///
 /// ```
 /// use std::time::{Duration, Instant};
-/// use goldcrestpitch::core::quarantine::{RunEnd, RunGate, RunPermit};
+/// use goldcrestpitch::core::quarantine::{RunEnd, RunGate, RunPermit, Suspect};
 /// let mut now = Instant::now();
-/// let mut gate = RunGate::new(2);
+/// let mut gate = RunGate::new(2, 5);
 /// for crash in [100, 200] {
-///     let run = gate.start(now, 7, crash).unwrap();
+///     let run = gate.start(now, 7, &[], crash).unwrap();
 ///     assert!(gate.end(now, run, RunEnd::Interrupted).needs_check);
 ///     let checked = gate.unresolved(now, crash);
-///     assert_eq!(gate.resolve(now, crash, &checked, true), [7]);
+///     assert_eq!(gate.resolve(now, crash, &checked, true), [Suspect::Request(7)]);
 ///     now += Duration::from_secs(1);
 /// }
-/// assert_eq!(gate.permit(now, 7), RunPermit::Quarantined);
+/// assert_eq!(gate.permit(now, 7, &[]), RunPermit::Quarantined);
 /// ```
 #[derive(Clone, Debug)]
 pub struct RunGate {
-    history: CrashHistory,
-    runs: HashMap<RunId, Run>,
+    pub(super) history: CrashHistory,
+    pub(super) segments: SegmentHistory,
+    pub(super) runs: HashMap<RunId, Run>,
     next_run: RunId,
     // Position of this process among the live ones, and their number.
     position: (usize, usize),
 }
 
 impl RunGate {
-    /// Quarantines requests after `limit` crashes.
-    pub fn new(limit: usize) -> Self {
+    /// Quarantines requests after `limit` crashes, and those with a segment that explains
+    /// `segment_limit` crashes.
+    pub fn new(limit: usize, segment_limit: usize) -> Self {
         Self {
             history: CrashHistory::new(limit),
+            segments: SegmentHistory::new(segment_limit),
             runs: HashMap::new(),
             next_run: 0,
             position: (0, 1),
         }
     }
 
-    /// The crashes of all processes, as far as they are known here.
+    /// The crashes that whole requests may have caused, as far as they are known here.
     pub fn history(&self) -> &CrashHistory {
         &self.history
     }
 
-    /// The crashes, to merge reports of other processes.
-    pub fn history_mut(&mut self) -> &mut CrashHistory {
-        &mut self.history
+    /// The crashes that segments of prompts may have caused, as far as they are known here.
+    pub fn segments(&self) -> &SegmentHistory {
+        &self.segments
     }
 
     /// Sets the position of this process among `count` live ones. Each request has one of
@@ -131,24 +76,70 @@
     }
 
     /// Reports to repeat to the other processes: of crashes seen here within `repeat_for`,
-    /// and of requests with at least `min_crashes` that this process reports for all.
+    /// and of suspects with at least `min_crashes` that this process reports for all.
     pub fn recent_reports(
         &self,
         now: Instant,
         repeat_for: Duration,
         min_crashes: usize,
     ) -> Vec<CrashReport> {
-        self.history.reports(|fingerprint, crashes, seen_here| {
+        self.reports(|id, crashes, seen_here| {
             seen_here.is_some_and(|at| now < at + repeat_for)
-                || (min_crashes <= crashes && self.owns(fingerprint))
+                || (min_crashes <= crashes && self.owns(id))
         })
     }
 
     /// Reports for a process that may have missed any: of crashes seen here, and of the
-    /// requests that this process reports for all.
+    /// suspects that this process reports for all.
     pub fn all_reports(&self) -> Vec<CrashReport> {
-        self.history
-            .reports(|fingerprint, _, seen_here| seen_here.is_some() || self.owns(fingerprint))
+        self.reports(|id, _, seen_here| seen_here.is_some() || self.owns(id))
+    }
+
+    /// The report on one suspect.
+    pub fn report(&self, suspect: Suspect) -> Option<CrashReport> {
+        match suspect {
+            Suspect::Request(fingerprint) => self.history.report(fingerprint),
+            Suspect::Segment(segment) => self.segments.report(segment),
+        }
+    }
+
+    /// Merges the report of another process. Returns whether it contained news.
+    pub fn merge(&mut self, now: Instant, report: &CrashReport) -> bool {
+        match report.suspect {
+            Suspect::Request(_) => self.history.merge(now, report),
+            Suspect::Segment(_) => {
+                let changed = self.segments.merge(now, report);
+                self.update_explained();
+                changed
+            }
+        }
+    }
+
+    /// Number of crashes that the suspect may have caused.
+    pub fn crashes(&self, suspect: Suspect) -> usize {
+        match suspect {
+            Suspect::Request(fingerprint) => self.history.crashes(fingerprint),
+            Suspect::Segment(segment) => self.segments.crashes(segment),
+        }
+    }
+
+    /// Keeps a refused request and its segments from being forgotten while such requests
+    /// come again and again.
+    pub fn record_refusal(
+        &mut self,
+        now: Instant,
+        fingerprint: Fingerprint,
+        segments: &[SegmentId],
+    ) {
+        self.history.record_refusal(now, fingerprint);
+        for segment in segments {
+            self.segments.record_refusal(now, *segment);
+        }
+    }
+
+    /// Number of requests and segments that are quarantined.
+    pub fn quarantined(&self, now: Instant) -> usize {
+        self.history.quarantined(now) + self.segments.blamed().len()
     }
 
     /// Number of runs that have not ended or are not resolved.
@@ -161,34 +152,6 @@
         self.runs.is_empty()
     }
 
-    /// Whether a run of the request may start.
-    pub fn permit(&self, now: Instant, fingerprint: Fingerprint) -> RunPermit {
-        match self.history.verdict(now, fingerprint) {
-            Verdict::Quarantined => return RunPermit::Quarantined,
-            Verdict::Undecided => return RunPermit::Wait,
-            Verdict::Allowed => {}
-        }
-        let unconfirmed = self.unconfirmed_crashes(fingerprint);
-        let suspected = self.history.crashes(fingerprint) + unconfirmed;
-        if suspected == 0 {
-            return RunPermit::Allowed;
-        }
-        let own = self.runs.values().filter(|r| r.fingerprint == fingerprint);
-        let active = own.filter(|r| r.is_active()).count();
-        let limit = self.history.limit();
-        if 0 < active + unconfirmed && limit <= suspected + active {
-            return RunPermit::Wait;
-        }
-        if limit <= self.history.unexplained(now, fingerprint) && !self.owns(fingerprint) {
-            return RunPermit::Wait;
-        }
-        let mut others = self.runs.values().filter(|r| r.fingerprint != fingerprint);
-        if self.is_last_chance(now, fingerprint) && others.any(|r| self.is_exclusive(now, r)) {
-            return RunPermit::Wait;
-        }
-        RunPermit::Allowed
-    }
-
     /// Starts a run at an endpoint whose crash would have this id.
     ///
     /// # Errors
@@ -197,47 +160,68 @@
         &mut self,
         now: Instant,
         fingerprint: Fingerprint,
+        segments: &[SegmentId],
         crash: CrashId,
     ) -> Result<RunId, RunPermit> {
-        let permit = self.permit(now, fingerprint);
+        let permit = self.permit(now, fingerprint, segments);
         if permit != RunPermit::Allowed {
             return Err(permit);
         }
+        let mut segments = segments.to_vec();
+        segments.sort_unstable();
+        segments.dedup();
+        for segment in &segments {
+            self.segments.record_run(*segment);
+        }
+        let mut run = Run::new(fingerprint, segments, crash);
+        run.suspected_segments = self.with_crashes(&run.segments);
+        run.known_crashes = self.history.crash_ids(fingerprint);
+        run.last_chance = self.is_last_chance(now, fingerprint);
         self.next_run += 1;
-        let run = Run {
-            fingerprint,
-            crash,
-            known_crashes: self.history.crash_ids(fingerprint),
-            last_chance: self.is_last_chance(now, fingerprint),
-            state: RunState::Starting,
-        };
         self.runs.insert(self.next_run, run);
         Ok(self.next_run)
     }
 
-    /// Records the first part of the response.
-    pub fn record_response(&mut self, run: RunId) {
-        if let Some(run) = self.runs.get_mut(&run) {
-            run.state = RunState::Responding;
+    /// Records data of the response. The first call marks its beginning. Later ones, of
+    /// which a few each second are enough, show that the endpoint still writes. Returns
+    /// suspects against which crashes no longer count.
+    pub fn record_response(&mut self, now: Instant, id: RunId) -> Vec<Suspect> {
+        let Some(run) = self.runs.get(&id).filter(|r| r.is_active()) else { return Vec::new() };
+        let suspected = (!run.has_responded()).then(|| self.with_crashes(&run.segments));
+        let Some(run) = self.runs.get_mut(&id) else { return Vec::new() };
+        if let Some(suspected) = suspected {
+            run.suspected_segments = suspected;
+        }
+        run.record_data(now);
+        if run.is_sound || !run.is_proven() {
+            return Vec::new();
         }
+        run.is_sound = true;
+        let run = run.clone();
+        self.clear_segments(now, &run)
     }
 
     /// Records the end of a run.
     pub fn end(&mut self, now: Instant, id: RunId, end: RunEnd) -> RunOutcome {
-        let Some(run) = self.runs.get_mut(&id) else { return RunOutcome::default() };
-        let was_suspect = !run.known_crashes.is_empty();
-        match end {
-            RunEnd::Interrupted => run.state = RunState::Interrupted,
+        let Some(run) = self.runs.get(&id) else { return RunOutcome::default() };
+        let is_suspect = self.is_suspect(now, run);
+        let state = match end {
+            RunEnd::Interrupted => RunState::Interrupted,
+            RunEnd::Unconfirmed => RunState::Unconfirmed,
             // A caller of a suspect request may leave because the endpoint crashed.
-            RunEnd::Abandoned if was_suspect => run.state = RunState::Interrupted,
-            RunEnd::Abandoned => run.state = RunState::Ended { since: now },
-            RunEnd::Completed | RunEnd::Failed => {
-                let Some(run) = self.runs.remove(&id) else { return RunOutcome::default() };
-                let cleared = if end == RunEnd::Completed { self.clear(now, run) } else { 0 };
-                return RunOutcome { needs_check: false, cleared };
+            RunEnd::Abandoned if is_suspect => RunState::Interrupted,
+            RunEnd::Abandoned => RunState::Ended { since: now },
+            RunEnd::Completed => {
+                return RunOutcome { needs_check: false, cleared: self.complete(now, id) };
             }
-        }
-        RunOutcome { needs_check: run.state == RunState::Interrupted, cleared: 0 }
+            RunEnd::Failed => {
+                self.runs.remove(&id);
+                return RunOutcome::default();
+            }
+        };
+        let Some(run) = self.runs.get_mut(&id) else { return RunOutcome::default() };
+        run.end(now, state);
+        RunOutcome { needs_check: run.is_unresolved(), cleared: Vec::new() }
     }
 
     /// Runs that ended in a way that a crash would explain.
@@ -249,94 +233,113 @@
 
     /// Whether an interrupted run waits for a check of its endpoint.
     pub fn needs_check(&self, crash: CrashId) -> bool {
-        self.runs.values().any(|r| r.crash == crash && r.state == RunState::Interrupted)
+        self.runs.values().any(|r| r.crash == crash && r.is_unresolved())
     }
 
     /// Records the result of a check that started after the runs in `checked` had ended.
-    /// Returns the requests against which the crash was counted.
+    /// Returns the suspects whose crashes changed: against which the crash was counted, or
+    /// which an unconfirmed run has cleared, since its endpoint has not crashed.
     pub fn resolve(
         &mut self,
         now: Instant,
         crash: CrashId,
         checked: &[RunId],
         crashed: bool,
-    ) -> Vec<Fingerprint> {
-        let mut counted = Vec::new();
+    ) -> Vec<Suspect> {
         if crashed {
-            let ran = self.runs.values().filter(|r| r.crash == crash && !r.is_forgotten(now));
-            let ran: Vec<Fingerprint> = ran.map(|r| r.fingerprint).collect();
-            for fingerprint in ran {
-                if self.history.record_crash(now, fingerprint, crash) {
-                    counted.push(fingerprint);
-                }
+            let counted = self.count_crash(now, crash);
+            for id in checked {
+                self.runs.remove(id);
             }
+            return counted;
         }
+        let mut cleared = Vec::new();
         for id in checked {
-            match self.runs.get_mut(id) {
-                Some(run) if !crashed && run.state == RunState::Interrupted => {
-                    run.state = RunState::Ended { since: now };
-                }
-                Some(_) if crashed => drop(self.runs.remove(id)),
+            let Some(run) = self.runs.get_mut(id) else { continue };
+            match run.state {
+                RunState::Interrupted => run.end(now, RunState::Ended { since: now }),
+                RunState::Unconfirmed => cleared.extend(self.complete(now, *id)),
                 _ => {}
             }
         }
-        counted
+        cleared
     }
 
-    /// Forgets requests without news and runs that ended long ago. Returns the forgotten
-    /// requests.
-    pub fn expire(&mut self, now: Instant) -> Vec<Fingerprint> {
+    /// Forgets suspects without news and runs that ended long ago. Returns the forgotten
+    /// suspects.
+    pub fn expire(&mut self, now: Instant) -> Vec<Suspect> {
         self.runs.retain(|_, r| !r.is_forgotten(now));
-        self.history.expire(now)
+        let requests = self.history.expire(now).into_iter().map(Suspect::Request);
+        let segments = self.segments.expire(now).into_iter().map(Suspect::Segment);
+        let expired = requests.chain(segments).collect();
+        self.update_explained();
+        expired
     }
 
-    fn owns(&self, fingerprint: Fingerprint) -> bool {
+    /// Reports on segments and requests by turns, so that neither crowd out the others.
+    fn reports(&self, is_due: impl Fn(u64, usize, Option<Instant>) -> bool) -> Vec<CrashReport> {
+        let mut segments = self.segments.reports(&is_due).into_iter();
+        let mut requests = self.history.reports(&is_due).into_iter();
+        let count = segments.len().max(requests.len());
+        (0..count).flat_map(|_| [segments.next(), requests.next()]).flatten().collect()
+    }
+
+    pub(super) fn owns(&self, id: u64) -> bool {
         let (position, count) = self.position;
-        fingerprint % count as u64 == position as u64
+        id % count as u64 == position as u64
     }
 
-    /// Possible crashes during interrupted runs of the request.
-    fn unconfirmed_crashes(&self, fingerprint: Fingerprint) -> usize {
-        let known = self.history.crash_ids(fingerprint);
-        let interrupted = self.runs.values().filter(|r| r.state == RunState::Interrupted);
-        let own = interrupted.filter(|r| r.fingerprint == fingerprint).map(|r| r.crash);
-        own.filter(|crash| !known.contains(crash)).collect::<HashSet<CrashId>>().len()
+    /// Counts a crash against the requests that ran at the endpoint and against the
+    /// segments of those that had just begun.
+    fn count_crash(&mut self, now: Instant, crash: CrashId) -> Vec<Suspect> {
+        let ran = self.runs.values().filter(|r| r.crash == crash && !r.is_forgotten(now));
+        let mut suspects: Vec<Suspect> =
+            ran.flat_map(|r| r.suspects(now)).collect::<HashSet<Suspect>>().into_iter().collect();
+        suspects.sort_unstable();
+        suspects.retain(|suspect| match *suspect {
+            Suspect::Request(fingerprint) => self.history.record_crash(now, fingerprint, crash),
+            Suspect::Segment(segment) => self.segments.record_crash(now, segment, crash),
+        });
+        self.update_explained();
+        suspects
     }
 
-    /// Whether one more crash would quarantine the request.
-    fn is_last_chance(&self, now: Instant, fingerprint: Fingerprint) -> bool {
-        let unexplained = self.history.unexplained(now, fingerprint);
-        self.history.limit() <= unexplained + self.unconfirmed_crashes(fingerprint) + 1
+    /// Whether its endpoint may have crashed because of it, by what is known of earlier runs.
+    fn is_suspect(&self, now: Instant, run: &Run) -> bool {
+        !run.known_crashes.is_empty()
+            || (run.is_beginning(now) && !self.with_crashes(&run.segments).is_empty())
     }
 
-    /// Whether other requests that are a crash away from the limit must wait for this run.
-    fn is_exclusive(&self, now: Instant, run: &Run) -> bool {
-        let ends_at_response =
-            self.history.unexplained(now, run.fingerprint) < self.history.limit();
-        match run.state {
-            RunState::Starting | RunState::Interrupted => run.last_chance,
-            RunState::Responding => run.last_chance && !ends_at_response,
-            RunState::Ended { .. } => false,
-        }
+    fn with_crashes(&self, segments: &[SegmentId]) -> Vec<SegmentId> {
+        segments.iter().copied().filter(|s| 0 < self.segments.crashes(*s)).collect()
     }
 
-    /// A complete run proves that the request need not crash an endpoint, and that this
-    /// endpoint did not crash.
-    fn clear(&mut self, now: Instant, run: Run) -> usize {
+    /// Removes a run whose response is complete. That proves that the request and its
+    /// segments need not crash an endpoint, and that this endpoint did not crash.
+    fn complete(&mut self, now: Instant, id: RunId) -> Vec<Suspect> {
+        let Some(run) = self.runs.remove(&id) else { return Vec::new() };
+        let mut cleared = if run.is_sound { Vec::new() } else { self.clear_segments(now, &run) };
         let mut known = run.known_crashes;
         if self.history.crash_ids(run.fingerprint).contains(&run.crash) {
             known.push(run.crash);
         }
-        self.history.record_completed(now, run.fingerprint, &known)
+        if 0 < self.history.record_completed(now, run.fingerprint, &known) {
+            cleared.push(Suspect::Request(run.fingerprint));
+        }
+        cleared
     }
-}
 
-impl Run {
-    fn is_active(&self) -> bool {
-        matches!(self.state, RunState::Starting | RunState::Responding)
+    fn clear_segments(&mut self, now: Instant, run: &Run) -> Vec<Suspect> {
+        let mut cleared = run.segments.clone();
+        cleared.retain(|s| self.segments.record_sound(now, *s, run.suspected_segments.contains(s)));
+        self.update_explained();
+        cleared.into_iter().map(Suspect::Segment).collect()
     }
 
-    fn is_forgotten(&self, now: Instant) -> bool {
-        matches!(self.state, RunState::Ended { since } if since + REMEMBERED_FOR <= now)
+    /// Crashes of blamed segments do not count against whole requests.
+    fn update_explained(&mut self) {
+        if let Some(explained) = self.segments.take_explained() {
+            self.history.set_explained(explained);
+        }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod response_body;
 mod run;
 mod shared;
+mod suspects;
 mod upstream;
 
 pub use process::{Gateway, GatewayConfig, Listeners, start};
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -248,7 +248,7 @@
         state.gate.set_position(position, count);
         // One gateway deletes what all have forgotten.
         let mut forgotten = state.gate.expire(now);
-        forgotten.retain(|f| position == 0 && state.record_change(*f));
+        forgotten.retain(|suspect| position == 0 && state.record_change(*suspect));
         if !forgotten.is_empty() {
             shared.report_unsaved.notify_one();
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -144,6 +144,7 @@
     };
     let end = stream.relay(request, tx, events).await;
     stream.run.record_end(match end {
+        StreamEnd::Complete if head.ends_with_connection => RunEnd::Unconfirmed,
         StreamEnd::Complete => RunEnd::Completed,
         StreamEnd::CallerGone => RunEnd::Abandoned,
         StreamEnd::Interrupted(_) | StreamEnd::Resumed(_) | StreamEnd::DeadlineExceeded => {
@@ -151,7 +152,7 @@
         }
     });
     drop(stream);
-    if matches!(end, StreamEnd::Complete) && !head.closes_connection {
+    if matches!(end, StreamEnd::Complete) && head.allows_reuse() {
         request.shared.pool.release(connection, head.keep_alive);
     }
     end
@@ -197,6 +198,8 @@
             if !has_data && data.has_remaining() {
                 has_data = true;
                 self.guard.record_first_response();
+            }
+            if data.has_remaining() {
                 self.run.record_response();
             }
             match events.push(&data) {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -6,14 +6,13 @@
     time::{Duration, Instant},
 };
 
-use log::info;
 use tokio::time;
 
 use crate::{
     core::{
         hash,
-        ids::{CrashId, EndpointId, Fingerprint},
-        quarantine::{RunEnd, RunId, RunPermit},
+        ids::{CrashId, EndpointId},
+        quarantine::{RunEnd, RunId, RunPermit, Suspect},
     },
     errors::{Code, Refusal},
     gateway::{crash_check, request::ProxiedRequest, shared::SharedState},
@@ -22,6 +21,9 @@
 /// Longest wait for another run of the same request or for a crash check, which takes up
 /// to 0.6 s.
 const MAX_PERMIT_WAIT: Duration = Duration::from_secs(2);
+/// Shortest time between two records that an endpoint still writes. A few each second are
+/// enough to show it.
+const RESPONSE_RECORD_INTERVAL: Duration = Duration::from_millis(100);
 /// A request becomes allowed by the passage of time too.
 const PERMIT_RECHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -45,15 +47,27 @@
     shared: Arc<SharedState>,
     run: RunId,
     target: RunTarget,
-    fingerprint: Fingerprint,
+    // When data of the response was last recorded.
+    last_response: Option<Instant>,
     ended: bool,
 }
 
 impl RunGuard {
-    /// Records the first part of the response.
-    pub(super) fn record_response(&self) {
-        self.shared.lock().gate.record_response(self.run);
-        self.shared.runs_changed.notify_waiters();
+    /// Records data of the response.
+    pub(super) fn record_response(&mut self) {
+        let now = Instant::now();
+        let last = self.last_response;
+        if last.is_some_and(|at| now < at + RESPONSE_RECORD_INTERVAL) {
+            return;
+        }
+        self.last_response = Some(now);
+        let mut state = self.shared.lock();
+        let cleared = state.gate.record_response(now, self.run);
+        state.log_cleared(now, &cleared, &self.target.endpoint);
+        drop(state);
+        if last.is_none() || !cleared.is_empty() {
+            self.shared.publish_crashes(&cleared);
+        }
     }
 
     /// Records that the endpoint could not be reached. If it crashed, runs whose callers
@@ -77,18 +91,11 @@
         }
         let now = Instant::now();
         let mut state = self.shared.lock();
-        let age = state.gate.history().age(now, self.fingerprint).unwrap_or_default();
         let ended = state.gate.end(now, self.run, end);
+        state.log_cleared(now, &ended.cleared, &self.target.endpoint);
         drop(state);
-        if ended.cleared != 0 {
-            info!(
-                "event=suspect_cleared fingerprint={:016x} crashes={} age_ms={} endpoint={}",
-                self.fingerprint,
-                ended.cleared,
-                age.as_millis(),
-                self.target.endpoint,
-            );
-            self.shared.publish_crashes(&[self.fingerprint]);
+        if !ended.cleared.is_empty() {
+            self.shared.publish_crashes(&ended.cleared);
         }
         if ended.needs_check {
             crash_check::start(&self.shared, &self.target);
@@ -110,10 +117,11 @@
     /// The refusal to send to the caller.
     pub(super) async fn wait_for_permit(&self) -> Result<(), Refusal> {
         let until = self.deadline.min(Instant::now() + MAX_PERMIT_WAIT);
+        let segments = self.requirements.leading_segments();
         loop {
             let changed = self.shared.runs_changed.notified();
             let now = Instant::now();
-            let permit = self.shared.lock().gate.permit(now, self.fingerprint);
+            let permit = self.shared.lock().gate.permit(now, self.fingerprint, &segments);
             match permit {
                 RunPermit::Allowed => return Ok(()),
                 RunPermit::Quarantined => return Err(self.quarantined()),
@@ -127,20 +135,28 @@
 
     /// Starts a run, unless it was decided meanwhile that it may not start.
     pub(super) fn start_run(&self, endpoint: &EndpointId, address: SocketAddr) -> Option<RunGuard> {
+        let segments = self.requirements.leading_segments();
         let mut state = self.shared.lock();
         let target = state.run_target(endpoint, address);
-        let run = state.gate.start(Instant::now(), self.fingerprint, target.crash).ok()?;
+        let now = Instant::now();
+        let run = state.gate.start(now, self.fingerprint, &segments, target.crash).ok()?;
         drop(state);
-        let (shared, fingerprint) = (self.shared.clone(), self.fingerprint);
-        Some(RunGuard { shared, run, target, fingerprint, ended: false })
+        let shared = self.shared.clone();
+        Some(RunGuard { shared, run, target, last_response: None, ended: false })
     }
 
     fn quarantined(&self) -> Refusal {
+        let now = Instant::now();
+        let segments = self.requirements.leading_segments();
         let mut state = self.shared.lock();
-        state.gate.history_mut().record_refusal(Instant::now(), self.fingerprint);
+        state.gate.record_refusal(now, self.fingerprint, &segments);
+        let blamed = state.likeliest_suspect(now, self.fingerprint, &segments);
         drop(state);
-        let refusal = Refusal::new(Code::Quarantined, "the request crashed endpoints");
-        self.no_further_attempt(refusal)
+        let text = match blamed {
+            Some((Suspect::Segment(_), _)) => "a segment of the prompt crashed endpoints",
+            _ => "the request crashed endpoints",
+        };
+        self.no_further_attempt(Refusal::new(Code::Quarantined, text))
     }
 
     fn no_permit(&self) -> Refusal {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -16,9 +16,9 @@
             Decision, Dispatcher, EndpointRegistry, Locality, REREGISTRATION_GRACE, RefusalReason,
             Requirements, RetryBudget, Route, RouteTable, ServiceName, Ticket,
         },
-        ids::{CrashId, EndpointId, Fingerprint},
+        ids::{CrashId, EndpointId},
         placement::DemandMeter,
-        quarantine::RunGate,
+        quarantine::{RunGate, Suspect},
     },
     gateway::{
         bootstrap::StoreCache,
@@ -45,6 +45,9 @@
 /// Crashes of endpoints after which a request must no longer be run, by the platform's
 /// rules.
 const MAX_CRASHES: usize = 3;
+/// Crashes of endpoints after which requests with a segment must no longer be run, by the
+/// platform's rules.
+const MAX_SEGMENT_CRASHES: usize = 5;
 
 #[derive(Debug)]
 pub(super) struct State {
@@ -62,10 +65,10 @@
     store_unavailable: bool,
     store_recovered_at: Option<Instant>,
     shutting_down: bool,
-    // Requests whose crashes are in the store.
-    pub(super) saved_reports: HashSet<Fingerprint>,
-    // Requests whose crashes changed here and have yet to be written to the store.
-    pub(super) unsaved_reports: HashSet<Fingerprint>,
+    // Suspects whose crashes are in the store.
+    pub(super) saved_reports: HashSet<Suspect>,
+    // Suspects whose crashes changed here and have yet to be written to the store.
+    pub(super) unsaved_reports: HashSet<Suspect>,
     // The saved crashes were read since the start.
     pub(super) knows_quarantines: bool,
     // Endpoint starts that are being checked for a crash.
@@ -112,7 +115,7 @@
             table: None,
             registry: EndpointRegistry::default(),
             dispatcher: Dispatcher::new(locality, seed),
-            gate: RunGate::new(MAX_CRASHES),
+            gate: RunGate::new(MAX_CRASHES, MAX_SEGMENT_CRASHES),
             demand: DemandMeter::new(),
             cache: StoreCache::default(),
             retry_budgets: HashMap::new(),
@@ -182,23 +185,26 @@
         !self.lock().crash_checks.is_empty()
     }
 
-    /// Number of requests that are quarantined because they crashed endpoints.
-    pub fn quarantined_requests(&self) -> usize {
-        self.lock().gate.history().quarantined(Instant::now())
+    /// Number of requests and segments of prompts that are quarantined because they crashed
+    /// endpoints.
+    pub fn quarantined_suspects(&self) -> usize {
+        self.lock().gate.quarantined(Instant::now())
     }
 
-    /// Number of crashes counted against all requests.
+    /// Number of crashes counted against all suspects.
     pub fn counted_crashes(&self) -> usize {
-        let reports = self.lock().gate.history().reports(|_, _, _| true);
-        reports.iter().map(|r| r.crashes.len()).sum()
+        let state = self.lock();
+        let requests = state.gate.history().reports(|_, _, _| true);
+        let segments = state.gate.segments().reports(|_, _, _| true);
+        requests.iter().chain(&segments).map(|r| r.crashes.len()).sum()
     }
 
-    /// Number of requests whose crashes have yet to be written to the store.
+    /// Number of suspects whose crashes have yet to be written to the store.
     pub fn unsaved_reports(&self) -> usize {
         self.lock().unsaved_reports.len()
     }
 
-    /// Whether the crashes of requests were read from the store since the start.
+    /// Whether the crashes of suspects were read from the store since the start.
     pub fn knows_quarantines(&self) -> bool {
         self.lock().knows_quarantines
     }
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -17,7 +17,7 @@
     run,
     scripted_endpoint::{
         ReceivedRequest, ScriptedEndpoint, Step, chunk, events, http_response, last_chunk,
-        response_head, stream_head,
+        response_head, stream_head, unframed_stream_head,
     },
     test_gateway::{TestGateway, http_request, read_response},
 };
@@ -126,6 +126,23 @@
     }));
 }
 
+/// The end of the connection looks like the end of the response.
+#[test]
+fn crash_in_a_response_without_length_is_counted() {
+    run(assert_quarantined("/book/1", |request| {
+        let head = response_head("200 OK", request.id(), "");
+        vec![Step::Send((head + "half").into_bytes()), Step::Exit]
+    }));
+}
+
+/// The end of the connection looks like the end of the stream.
+#[test]
+fn crash_in_a_stream_without_length_is_counted() {
+    run(assert_quarantined("/stream/1", |request| {
+        vec![unframed_stream_head(request.id()), Step::Send(events(0..2).into_bytes()), Step::Exit]
+    }));
+}
+
 #[test]
 fn crash_without_closing_the_connection_is_counted() {
     run(assert_quarantined("/book/1", |_| vec![Step::Vanish]));
@@ -263,7 +280,7 @@
         let seeds = vec![existing.peer_address.ip()];
         let joining = TestGateway::start_with(existing.log.clone(), address, seeds).await;
         joining.wait_for_version(1).await;
-        joining.wait_until(|g| 0 < g.process.shared().quarantined_requests()).await;
+        joining.wait_until(|g| 0 < g.process.shared().quarantined_suspects()).await;
         assert_eq!(joining.send("POST", "/read/1", "", POISON).await.status, 503);
         assert_eq!(crashed(&endpoints), before);
     });
--- a/tests/gateway/lost_answers.rs
+++ b/tests/gateway/lost_answers.rs
@@ -289,7 +289,7 @@
             time::sleep(Duration::from_millis(1000)).await;
             drop(waiting);
             // It goes on.
-            tokio::spawn(async move { while listener.accept().await.is_ok() {} })
+            tokio::spawn(async move { while listener.accept().await.is_ok() {} }).abort_handle()
         };
         let (response, accept) = tokio::join!(gateway.send("POST", "/book/1", "", ""), sent);
         assert_eq!(response.status, 502);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod bootstrap;
 mod config;
 mod crashing_requests;
+mod crashing_segments;
 mod drain;
 mod explained;
 mod lost_answers;
@@ -13,6 +14,7 @@
 mod scripted_endpoint;
 mod silent_endpoints;
 mod streams;
+mod streams_beside_crashes;
 mod test_gateway;
 
 /// Runs a test on one thread, like each process, and fails it after 60 seconds.
