Fleet of gateways in virtual time: fleet, gateway and checks apart

Change: a folder with the fleet, one gateway and the checks on whole requests; behaviour, bounds, seeds and names of the tests as before.

--- a/tests/crashing_fleet.rs
+++ b/tests/crashing_fleet/fleet.rs
@@ -1,125 +1,38 @@
-//! A fleet of gateways in virtual time, with random schedules: one caller sends a request
-//! that crashes its endpoint again and again, to any gateway, beside other requests.
-//!
-//! Gateways start, stop, freeze, are cut off and lose datagrams; endpoints also crash for
-//! other reasons. Each schedule follows from its seed.
+//! The fleet in virtual time: gateways, endpoints and the messages between the gateways.
 
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
 };
 
-use goldcrestpitch::core::quarantine::{CrashReport, RunEnd, RunGate, RunId, RunPermit};
+use goldcrestpitch::core::quarantine::{CrashReport, RunEnd, RunPermit};
+
+use crate::{
+    LIMIT, STABLE_WINDOW_MS,
+    gateway::{Check, Endpoint, Gateway, Run, Trouble},
+};
 
-const LIMIT: usize = 3;
-const SCHEDULES: u64 = 10_000;
 const STEP_MS: u64 = 10;
 const LENGTH_MS: u64 = 14_000;
 /// The crashing request; all others count up from 1,000.
 const POISON: u64 = 7;
-/// Crashes beyond the limit that tell requests apart which ran at the same endpoints.
-const RIVAL_CRASHES: usize = 2;
-/// Within this time, a crash is known to all gateways that are not disturbed: the check of
-/// the endpoint (100 ms, and up to 500 ms to connect) and a datagram.
-const KNOWLEDGE_DELAY_MS: u64 = 700;
-/// Time after which a disturbed gateway counts as undisturbed again, by the platform's
-/// rules.
-const STABLE_WINDOW_MS: u64 = 4_000;
-/// Sends that the platform's rules allow after the last allowed crash is known.
-const LATE_SENDS: usize = 3;
 const BROADCAST_MS: u64 = 800;
 const REPEAT_FOR: Duration = Duration::from_secs(5);
 const CHECK_DELAY_MS: u64 = 100;
 
-/// What may happen in a schedule.
-#[derive(Clone, Copy, Debug, Default)]
-struct Trouble {
-    stops: bool,
-    freezes: bool,
-    cuts: bool,
-    loss: f64,
-    other_crashes: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Endpoint {
-    start: u64,
-    down_until: u64,
-}
-
-#[derive(Clone, Debug)]
-struct Run {
-    id: RunId,
-    request: u64,
-    endpoint: usize,
-    start: u64,
-    respond_at: u64,
-    // When the run ends: by a crash of the endpoint for the crashing request.
-    end_at: u64,
-    responded: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Check {
-    endpoint: usize,
-    start: u64,
-    // The connection attempt begins, and later its result is known.
-    connect_at: u64,
-    result_at: u64,
-    checked: Option<(Vec<RunId>, bool)>,
-}
-
-struct Gateway {
-    gate: RunGate,
-    runs: Vec<Run>,
-    checks: HashMap<u64, Check>,
-    inbox: Vec<(u64, CrashReport)>,
-    restarts: Vec<(u64, usize, u64)>,
-    stopped_until: u64,
-    frozen_until: u64,
-    cut_until: u64,
-    disturbed_until: u64,
-    next_broadcast: u64,
-    // End of the last silence of more than two seconds.
-    silent_until: u64,
-}
-
-impl Gateway {
-    fn new() -> Self {
-        Self {
-            gate: RunGate::new(LIMIT),
-            runs: Vec::new(),
-            checks: HashMap::new(),
-            inbox: Vec::new(),
-            restarts: Vec::new(),
-            stopped_until: 0,
-            frozen_until: 0,
-            cut_until: 0,
-            disturbed_until: 0,
-            next_broadcast: 0,
-            silent_until: 0,
-        }
-    }
-
-    fn runs_now(&self, now: u64) -> bool {
-        self.stopped_until <= now && self.frozen_until <= now
-    }
-}
-
 /// What the schedule showed.
 #[derive(Debug, Default)]
-struct Outcome {
+pub struct Outcome {
     // Times at which the crashing request ended an endpoint.
-    crashes: Vec<u64>,
+    pub crashes: Vec<u64>,
     // Times of its sends, and whether the gateway was undisturbed.
-    sends: Vec<(u64, bool)>,
-    others_refused: usize,
+    pub sends: Vec<(u64, bool)>,
+    pub others_refused: usize,
     // Of these, later than disturbances and lost datagrams explain.
-    others_refused_later: usize,
-    others_completed: usize,
+    pub others_refused_later: usize,
+    pub others_completed: usize,
 }
-
-struct Fleet {
+pub struct Fleet {
     rng: fastrand::Rng,
     trouble: Trouble,
     started: Instant,
@@ -139,7 +52,7 @@
 }
 
 impl Fleet {
-    fn new(seed: u64, trouble: Trouble) -> Self {
+    pub fn new(seed: u64, trouble: Trouble) -> Self {
         let mut rng = fastrand::Rng::with_seed(seed);
         let gateways = (0..rng.usize(2..=5)).map(|_| Gateway::new()).collect();
         let endpoints = vec![Endpoint { start: 0, down_until: 0 }; rng.usize(4..=12)];
@@ -163,7 +76,7 @@
         self.started + Duration::from_millis(self.now)
     }
 
-    fn play(mut self) -> Outcome {
+    pub fn play(mut self) -> Outcome {
         let copies_per_s = self.rng.f64() * 8.0 + 0.5;
         while self.now < LENGTH_MS {
             self.now += STEP_MS;
@@ -426,83 +339,3 @@
         }
     }
 }
-
-/// Sends later than the knowledge of the last allowed crash explains.
-fn late_sends(outcome: &Outcome, allowed: usize, delay: u64) -> usize {
-    let Some(last) = outcome.crashes.get(allowed - 1) else { return 0 };
-    outcome.sends.iter().filter(|(at, calm)| *calm && last + delay < *at).count()
-}
-
-fn random_trouble(seed: u64) -> Trouble {
-    let mut rng = fastrand::Rng::with_seed(!seed);
-    let mut trouble = Trouble {
-        stops: rng.bool(),
-        freezes: rng.bool(),
-        cuts: rng.bool(),
-        loss: 0.0,
-        other_crashes: rng.bool(),
-    };
-    if rng.bool() {
-        trouble.loss = rng.f64() * 0.3;
-    }
-    trouble
-}
-
-#[test]
-fn calm_fleet_ends_no_endpoint_after_the_limit_is_known() {
-    println!("seeds 0..{SCHEDULES}");
-    let mut by_crashes = [0; 16];
-    for seed in 0..SCHEDULES {
-        let outcome = Fleet::new(seed, Trouble::default()).play();
-        by_crashes[outcome.crashes.len().min(15)] += 1;
-        let late = late_sends(&outcome, LIMIT + RIVAL_CRASHES, KNOWLEDGE_DELAY_MS);
-        assert_eq!(late, 0, "seed {seed}: {outcome:?}");
-        assert_eq!(outcome.others_refused, 0, "seed {seed}: {outcome:?}");
-        assert!(0 < outcome.others_completed, "seed {seed}");
-    }
-    println!("schedules by number of endpoints ended: {by_crashes:?}");
-}
-
-#[test]
-fn disturbed_fleet_keeps_the_limit_on_late_sends() {
-    println!("seeds 0..{SCHEDULES}");
-    let mut refused = 0;
-    for seed in 0..SCHEDULES {
-        let trouble = random_trouble(seed);
-        let outcome = Fleet::new(seed, trouble).play();
-        let late = late_sends(&outcome, LIMIT, STABLE_WINDOW_MS);
-        assert!(late <= LATE_SENDS, "seed {seed}: {late} late sends, {trouble:?} {outcome:?}");
-        if !trouble.other_crashes {
-            let refused_later = outcome.others_refused_later;
-            assert_eq!(refused_later, 0, "seed {seed}: {trouble:?} {outcome:?}");
-        }
-        refused += outcome.others_refused;
-    }
-    println!("other requests refused: {refused}");
-}
-
-/// A gateway that misses reports may take a request for the cause that only ran at the same
-/// endpoints.
-#[test]
-#[ignore = "listed in KNOWN-RED.txt"]
-fn no_other_request_is_refused_while_reports_are_missing() {
-    println!("seeds 0..{SCHEDULES}");
-    let mut failed = Vec::new();
-    for seed in 0..SCHEDULES {
-        let trouble = Trouble { other_crashes: false, ..random_trouble(seed) };
-        if 0 < Fleet::new(seed, trouble).play().others_refused {
-            failed.push(seed);
-        }
-    }
-    assert_eq!(failed, [0; 0], "{} of {SCHEDULES} schedules", failed.len());
-}
-
-/// Shows that the checks can fail: gateways that exchange no reports end more endpoints.
-#[test]
-fn without_reports_more_endpoints_end() {
-    let late = |seed| {
-        let outcome = Fleet::new(seed, Trouble { loss: 1.0, ..Trouble::default() }).play();
-        late_sends(&outcome, LIMIT + RIVAL_CRASHES, KNOWLEDGE_DELAY_MS)
-    };
-    assert!((0..200).any(|seed| 0 < late(seed)));
-}
--- /dev/null
+++ b/tests/crashing_fleet/gateway.rs
@@ -0,0 +1,98 @@
+//! One gateway of the fleet with its runs, checks and messages, and the troubles that may
+//! disturb it.
+
+use std::collections::HashMap;
+
+use goldcrestpitch::core::quarantine::{CrashReport, RunGate, RunId};
+
+use crate::LIMIT;
+
+/// What may happen in a schedule.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trouble {
+    pub stops: bool,
+    pub freezes: bool,
+    pub cuts: bool,
+    pub loss: f64,
+    pub other_crashes: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Endpoint {
+    pub start: u64,
+    pub down_until: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: RunId,
+    pub request: u64,
+    pub endpoint: usize,
+    pub start: u64,
+    pub respond_at: u64,
+    // When the run ends: by a crash of the endpoint for the crashing request.
+    pub end_at: u64,
+    pub responded: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Check {
+    pub endpoint: usize,
+    pub start: u64,
+    // The connection attempt begins, and later its result is known.
+    pub connect_at: u64,
+    pub result_at: u64,
+    pub checked: Option<(Vec<RunId>, bool)>,
+}
+
+pub struct Gateway {
+    pub gate: RunGate,
+    pub runs: Vec<Run>,
+    pub checks: HashMap<u64, Check>,
+    pub inbox: Vec<(u64, CrashReport)>,
+    pub restarts: Vec<(u64, usize, u64)>,
+    pub stopped_until: u64,
+    pub frozen_until: u64,
+    pub cut_until: u64,
+    pub disturbed_until: u64,
+    pub next_broadcast: u64,
+    // End of the last silence of more than two seconds.
+    pub silent_until: u64,
+}
+
+impl Gateway {
+    pub fn new() -> Self {
+        Self {
+            gate: RunGate::new(LIMIT),
+            runs: Vec::new(),
+            checks: HashMap::new(),
+            inbox: Vec::new(),
+            restarts: Vec::new(),
+            stopped_until: 0,
+            frozen_until: 0,
+            cut_until: 0,
+            disturbed_until: 0,
+            next_broadcast: 0,
+            silent_until: 0,
+        }
+    }
+
+    pub fn runs_now(&self, now: u64) -> bool {
+        self.stopped_until <= now && self.frozen_until <= now
+    }
+}
+
+pub fn random_trouble(seed: u64) -> Trouble {
+    let mut rng = fastrand::Rng::with_seed(!seed);
+    let mut trouble = Trouble {
+        stops: rng.bool(),
+        freezes: rng.bool(),
+        cuts: rng.bool(),
+        loss: 0.0,
+        other_crashes: rng.bool(),
+    };
+    if rng.bool() {
+        trouble.loss = rng.f64() * 0.3;
+    }
+    trouble
+}
--- /dev/null
+++ b/tests/crashing_fleet/main.rs
@@ -0,0 +1,20 @@
+//! A fleet of gateways in virtual time, with random schedules: one caller sends a request
+//! that crashes its endpoint again and again, to any gateway, beside other requests.
+//!
+//! Gateways start, stop, freeze, are cut off and lose datagrams; endpoints also crash for
+//! other reasons. Each schedule follows from its seed.
+
+mod fleet;
+mod gateway;
+mod requests;
+
+const SCHEDULES: u64 = 10_000;
+const LIMIT: usize = 3;
+/// Within this time, a crash is known to all gateways that are not disturbed: the check of
+/// the endpoint (100 ms, and up to 500 ms to connect) and a datagram.
+const KNOWLEDGE_DELAY_MS: u64 = 700;
+/// Time after which a disturbed gateway counts as undisturbed again, by the platform's
+/// rules.
+const STABLE_WINDOW_MS: u64 = 4_000;
+/// Sends that the platform's rules allow after the last allowed crash is known.
+const LATE_SENDS: usize = 3;
