--- a/tests/crashing_fleet/fleet.rs
+++ b/tests/crashing_fleet/fleet.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use goldcrestpitch::core::quarantine::{CrashReport, RunEnd, RunPermit};
+use goldcrestpitch::core::quarantine::{CrashReport, RunEnd, RunPermit, Suspect};
 
 use crate::{
     LIMIT, STABLE_WINDOW_MS,
@@ -41,7 +41,7 @@
     endpoints: Vec<Endpoint>,
     // Requests that a gateway retries or whose caller sends them again, with the time.
     retries: Vec<(u64, usize, u64, u32)>,
-    stored: HashMap<u64, CrashReport>,
+    stored: HashMap<Suspect, CrashReport>,
     next_request: u64,
     progress_first: bool,
     outcome: Outcome,
@@ -153,7 +153,7 @@
         }
         let endpoint = self.rng.usize(..self.endpoints.len());
         let Endpoint { start, down_until } = self.endpoints[endpoint];
-        match self.gateways[gateway].gate.start(at, request, crash_id(endpoint, start)) {
+        match self.gateways[gateway].gate.start(at, request, &[], crash_id(endpoint, start)) {
             Err(RunPermit::Quarantined) => {
                 let settled =
                     self.outcome.crashes.last().is_none_or(|c| c + STABLE_WINDOW_MS < now);
@@ -232,7 +232,7 @@
             news |= !gateway.gate.resolve(at, crash_id(endpoint, start), &[], true).is_empty();
         }
         for (_, report) in gateway.inbox.extract_if(.., |m| m.0 <= now) {
-            gateway.gate.history_mut().merge(at, &report);
+            gateway.gate.merge(at, &report);
         }
         gateway.gate.expire(at);
         if news || gateway.next_broadcast <= now {
@@ -264,7 +264,7 @@
                 continue;
             }
             if run.end_at <= now && run.request != POISON {
-                news |= gateway.gate.end(at, run.id, RunEnd::Completed).cleared != 0;
+                news |= !gateway.gate.end(at, run.id, RunEnd::Completed).cleared.is_empty();
                 self.outcome.others_completed += 1;
                 continue;
             }
@@ -273,7 +273,7 @@
                 && !run.responded
                 && (run.request != POISON || self.progress_first)
             {
-                gateway.gate.record_response(run.id);
+                gateway.gate.record_response(at, run.id);
                 run.responded = true;
             }
             gateway.runs.push(run);
@@ -318,7 +318,7 @@
         let recent = gateway.gate.recent_reports(at, REPEAT_FOR, LIMIT - 1);
         let all = gateway.gate.all_reports();
         for report in recent.iter().filter(|r| news && LIMIT - 1 <= r.crashes.len()) {
-            self.stored.insert(report.fingerprint, report.clone());
+            self.stored.insert(report.suspect, report.clone());
         }
         if now < gateway.cut_until {
             return;
--- a/tests/crashing_fleet/gateway.rs
+++ b/tests/crashing_fleet/gateway.rs
@@ -5,7 +5,7 @@
 
 use goldcrestpitch::core::quarantine::{CrashReport, RunGate, RunId};
 
-use crate::LIMIT;
+use crate::{LIMIT, SEGMENT_LIMIT};
 
 /// What may happen in a schedule.
 #[derive(Clone, Copy, Debug, Default)]
@@ -63,7 +63,7 @@
 impl Gateway {
     pub fn new() -> Self {
         Self {
-            gate: RunGate::new(LIMIT),
+            gate: RunGate::new(LIMIT, SEGMENT_LIMIT),
             runs: Vec::new(),
             checks: HashMap::new(),
             inbox: Vec::new(),
--- a/tests/crashing_fleet/main.rs
+++ b/tests/crashing_fleet/main.rs
@@ -10,6 +10,8 @@
 
 const SCHEDULES: u64 = 10_000;
 const LIMIT: usize = 3;
+/// No request of these schedules has segments.
+const SEGMENT_LIMIT: usize = 5;
 /// Within this time, a crash is known to all gateways that are not disturbed: the check of
 /// the endpoint (100 ms, and up to 500 ms to connect) and a datagram.
 const KNOWLEDGE_DELAY_MS: u64 = 700;
