Fleet in virtual time: prompts with segments that crash endpoints

Cause: no schedule had segments that crash the endpoints of all requests with them. Change: the fleet takes its callers as a Workload; whole requests are one, requests with shared segments another. Checks: late sends per cause, sound requests with the same first segment before and after, refusals after the crashes, and three controls that must fail. The checks on segments were not run to their end yet.

--- a/tests/crashing_fleet/gateway.rs
+++ b/tests/crashing_fleet/gateway.rs
@@ -1,11 +1,11 @@
 //! One gateway of the fleet with its runs, checks and messages, and the troubles that may
 //! disturb it.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use goldcrestpitch::core::quarantine::{CrashReport, RunGate, RunId};
 
-use crate::{LIMIT, SEGMENT_LIMIT};
+use crate::{LIMIT, SEGMENT_LIMIT, workload::Request};
 
 /// What may happen in a schedule.
 #[derive(Clone, Copy, Debug, Default)]
@@ -26,12 +26,14 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub id: RunId,
-    pub request: u64,
+    pub request: Request,
     pub endpoint: usize,
     pub start: u64,
-    pub respond_at: u64,
-    // When the run ends: by a crash of the endpoint for the crashing request.
+    // When the gateway gets the first data.
+    pub data_at: Option<u64>,
+    // When the run ends: by a crash of the endpoint for a crashing request.
     pub end_at: u64,
+    pub ends_with_connection: bool,
     pub responded: bool,
 }
 
@@ -48,7 +50,7 @@
 pub struct Gateway {
     pub gate: RunGate,
     pub runs: Vec<Run>,
-    pub checks: HashMap<u64, Check>,
+    pub checks: BTreeMap<u64, Check>,
     pub inbox: Vec<(u64, CrashReport)>,
     pub restarts: Vec<(u64, usize, u64)>,
     pub stopped_until: u64,
@@ -56,6 +58,7 @@
     pub cut_until: u64,
     pub disturbed_until: u64,
     pub next_broadcast: u64,
+    pub next_expiry: u64,
     // End of the last silence of more than two seconds.
     pub silent_until: u64,
 }
@@ -65,7 +68,7 @@
         Self {
             gate: RunGate::new(LIMIT, SEGMENT_LIMIT),
             runs: Vec::new(),
-            checks: HashMap::new(),
+            checks: BTreeMap::new(),
             inbox: Vec::new(),
             restarts: Vec::new(),
             stopped_until: 0,
@@ -73,6 +76,7 @@
             cut_until: 0,
             disturbed_until: 0,
             next_broadcast: 0,
+            next_expiry: 0,
             silent_until: 0,
         }
     }
@@ -80,6 +84,10 @@
     pub fn runs_now(&self, now: u64) -> bool {
         self.stopped_until <= now && self.frozen_until <= now
     }
+
+    pub fn is_connected(&self, now: u64) -> bool {
+        self.stopped_until <= now && self.cut_until <= now
+    }
 }
 
 pub fn random_trouble(seed: u64) -> Trouble {
--- a/tests/crashing_fleet/main.rs
+++ b/tests/crashing_fleet/main.rs
@@ -1,16 +1,22 @@
-//! A fleet of gateways in virtual time, with random schedules: one caller sends a request
-//! that crashes its endpoint again and again, to any gateway, beside other requests.
+//! A fleet of gateways in virtual time, with random schedules: requests that crash their
+//! endpoint come again and again, to any gateway, beside sound ones.
 //!
 //! Gateways start, stop, freeze, are cut off and lose datagrams; endpoints also crash for
 //! other reasons. Each schedule follows from its seed.
 
 mod fleet;
 mod gateway;
+mod outcome;
+mod parallel;
 mod requests;
+mod segment_callers;
+mod segment_plan;
+mod segments;
+mod steps;
+mod workload;
 
 const SCHEDULES: u64 = 10_000;
 const LIMIT: usize = 3;
-/// No request of these schedules has segments.
 const SEGMENT_LIMIT: usize = 5;
 /// Within this time, a crash is known to all gateways that are not disturbed: the check of
 /// the endpoint (100 ms, and up to 500 ms to connect) and a datagram.
