--- a/tests/crashing_fleet/segment_callers.rs
+++ b/tests/crashing_fleet/segment_callers.rs
@@ -43,11 +43,10 @@
             let first = bad.first.unwrap_or_else(|| self.plan.first_index(rng));
             segments.push(self.plan.firsts[first]);
         }
-        let place = if bad.is_first { 0 } else { 1 };
         self.add_others(rng, &mut segments);
         for segment in &bad.segments {
-            let last = if bad.is_first { 0 } else { segments.len() };
-            segments.insert(rng.usize(place..=last), *segment);
+            let places = if bad.is_first { 0..=0 } else { 1..=segments.len() };
+            segments.insert(rng.usize(places), *segment);
         }
         self.request(segments)
     }
