--- a/tests/crashing_fleet/workload.rs
+++ b/tests/crashing_fleet/workload.rs
@@ -17,6 +17,8 @@
     pub segments: Arc<[SegmentId]>,
     /// Why it ends its endpoint, as decided when it is sent; 0 for a sound request.
     pub causes: Causes,
+    /// When it is no longer sent; set when it arrives.
+    pub expires_at: u64,
     /// Index in the outcome's list of first attempts.
     pub attempt: Option<usize>,
 }
