--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod requests;
 mod retries;
 mod scripted_endpoint;
+mod second_attempts;
 mod silent_endpoints;
 mod streams;
 mod streams_beside_crashes;
