--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -87,43 +87,56 @@
         last_event: Option<&str>,
     ) -> Result<EndpointResponse, Refusal> {
         loop {
-            let mut attempt = self.start_attempt().await?;
-            let mut sending = pin!(self.send(&attempt, last_event));
-            let mut wait = self.response_timeout();
-            let mut pause = SECOND_ATTEMPT_PAUSE;
-            let result = loop {
-                if !self.can_run_again() {
-                    break sending.await;
+            let attempt = self.start_attempt().await?;
+            match self.response_of(attempt, last_event).await {
+                Ok(response) => return Ok(response),
+                Err((attempt, err)) => self.handle_failure(attempt, err)?,
+            }
+        }
+    }
+
+    /// Waits for the response head of an attempt, beside second attempts while its endpoint
+    /// is silent.
+    async fn response_of(
+        &mut self,
+        mut attempt: Attempt,
+        last_event: Option<&str>,
+    ) -> Result<EndpointResponse, (Attempt, AttemptError)> {
+        let mut sending = pin!(self.send(&attempt, last_event));
+        let mut wait = self.response_timeout();
+        let mut pause = SECOND_ATTEMPT_PAUSE;
+        let result = loop {
+            if !self.can_run_again() {
+                break sending.await;
+            }
+            if let Ok(result) = time::timeout(wait, &mut sending).await {
+                break result;
+            }
+            self.record_silence(&attempt.endpoint);
+            let run = &mut attempt.run;
+            let is_usable = |result: &Result<SentRequest, AttemptError>| match result {
+                Ok((response, ..)) => !response.status().is_server_error(),
+                Err(err) => {
+                    end_failed(run, err);
+                    false
                 }
-                if let Ok(result) = time::timeout(wait, &mut sending).await {
-                    break result;
+            };
+            match self.race_second(sending.as_mut(), is_usable, last_event).await {
+                Race::First(result) => break result,
+                Race::Second(second, failed) => {
+                    self.record_lost_race(attempt, failed);
+                    return Ok(*second);
                 }
-                self.record_silence(&attempt.endpoint);
-                let run = &mut attempt.run;
-                let is_usable = |result: &Result<SentRequest, AttemptError>| match result {
-                    Ok((response, ..)) => !response.status().is_server_error(),
-                    Err(err) => {
-                        end_failed(run, err);
-                        false
-                    }
-                };
-                match self.race_second(sending.as_mut(), is_usable, last_event).await {
-                    Race::First(result) => break result,
-                    Race::Second(second, failed) => {
-                        self.record_lost_race(attempt, failed);
-                        return Ok(*second);
-                    }
-                    Race::Undecided => {
-                        self.tried = vec![attempt.endpoint.clone()];
-                        wait = pause;
-                        pause *= 2;
-                    }
+                Race::Undecided => {
+                    self.tried = vec![attempt.endpoint.clone()];
+                    wait = pause;
+                    pause *= 2;
                 }
-            };
-            match result {
-                Ok(sent) => return Ok(attempt.with(sent.into())),
-                Err(err) => self.handle_failure(attempt, err)?,
             }
+        };
+        match result {
+            Ok(sent) => Ok(attempt.with(sent.into())),
+            Err(err) => Err((attempt, err)),
         }
     }
 
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -33,8 +33,8 @@
 const MAX_SILENCE: Duration = Duration::from_millis(2000);
 
 /// Checks in the background whether the endpoint still accepts connections, unless that is
-/// in progress. If not, a crash is counted against the
-/// requests that ran there and segments of their prompts.
+/// in progress. If not, a crash is counted against the requests that ran there and segments
+/// of their prompts.
 pub(super) fn start(shared: &Arc<SharedState>, target: &RunTarget) {
     if shared.lock().crash_checks.insert(target.crash) {
         tokio::spawn(run(shared.clone(), target.clone()));
--- a/src/gateway/crash_reports.rs
+++ b/src/gateway/crash_reports.rs
@@ -18,7 +18,8 @@
     gossip::{CrashReport, CrashReports},
 };
 
-/// How long news of a suspect is repeated to peers: several broadcasts, since datagrams may be lost.
+/// How long news of a suspect is repeated to peers: several broadcasts, since datagrams may
+/// be lost.
 const REPEAT_FOR: Duration = Duration::from_secs(5);
 /// Suspects with this many crashes are reported as long as they are remembered, each by one
 /// gateway.
