--- a/src/core/quarantine/crash_history.rs
+++ b/src/core/quarantine/crash_history.rs
@@ -24,7 +24,7 @@
 const MAX_CRASHES: usize = 8;
 /// How long a request that has just reached the limit is undecided, since another process
 /// may report a second request that crashed the same endpoint: a check of the endpoint
-/// takes up to 600 ms, and the datagram follows.
+/// that refuses connections takes up to 600 ms, and the datagram follows.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
 
 /// How long the other requests that may have caused the same crashes wait for the first
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -19,7 +19,7 @@
 };
 
 /// Longest wait for another run of the same request or for a crash check, which takes up
-/// to 0.6 s.
+/// to 0.6 s unless the endpoint does not answer at all.
 const MAX_PERMIT_WAIT: Duration = Duration::from_secs(2);
 /// Shortest time between two records that an endpoint still writes. A few each second are
 /// enough to show it.
