--- a/tests/crashing_fleet/main.rs
+++ b/tests/crashing_fleet/main.rs
@@ -8,6 +8,7 @@
 mod gateway;
 mod outcome;
 mod parallel;
+mod repeated_requests;
 mod requests;
 mod segment_callers;
 mod segment_plan;
