Log lines tell the crashes of a whole request from those that count

sent and refused named the likeliest suspect only. A request that runs on because its crashes are explained by another suspect looked like one without crashes.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -25,7 +25,7 @@
         outbound::{DEADLINE_SLACK, MAX_RESPONSE_BYTES, OutboundRequest},
         refusals, relay,
         shared::SharedState,
-        suspects::Label,
+        suspects::{Label, OwnCrashes},
     },
     http::{ClientAddress, Reply, ReplyBody},
     platform::{self, RequestHead},
@@ -242,9 +242,9 @@
             *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         }
         counter!(names::REFUSALS, "code" => refusal.code.name()).increment(1);
-        let (suspect, crashes) = self.likeliest_suspect();
+        let (suspect, crashes, own) = self.likeliest_suspect();
         info!(
-            "event=refused id={} fingerprint={:016x} suspect={suspect} crashes={crashes} code={} \
+            "event=refused id={} fingerprint={:016x} suspect={suspect} crashes={crashes} {own} code={} \
              outcome={} retry_after_ms={} version={} why=\"{}\"",
             self.id(),
             self.fingerprint,
@@ -258,22 +258,24 @@
         reply
     }
 
-    /// The likeliest suspect of crashes that the request involves, and the number of its
-    /// crashes, for the log.
-    fn likeliest_suspect(&self) -> (Label, usize) {
+    /// The likeliest suspect of crashes that the request involves, the number of its crashes,
+    /// and the crashes of the whole request, for the log.
+    fn likeliest_suspect(&self) -> (Label, usize, OwnCrashes) {
         let segments = self.requirements.leading_segments();
         let state = self.shared.lock();
         let found = state.likeliest_suspect(Instant::now(), self.fingerprint, &segments);
-        found.map_or((Label(None), 0), |(suspect, crashes)| (Label(Some(suspect)), crashes))
+        let own = state.own_crashes(Instant::now(), self.fingerprint);
+        let (suspect, crashes) = found.unzip();
+        (Label(suspect), crashes.unwrap_or(0), own)
     }
 
     /// Logs the chosen endpoint with the load figures behind the choice.
     pub(super) fn log_sent(&self, endpoint: &EndpointId) {
         let now = Instant::now();
         let load = self.shared.lock().dispatcher.load(endpoint).clone();
-        let (suspect, crashes) = self.likeliest_suspect();
+        let (suspect, crashes, own) = self.likeliest_suspect();
         info!(
-            "event=sent id={} fingerprint={:016x} suspect={suspect} crashes={crashes} \
+            "event=sent id={} fingerprint={:016x} suspect={suspect} crashes={crashes} {own} \
              endpoint={endpoint} attempt={} waited_ms={} \
              left_ms={} tokens={} running={} unread={} reading={:.0} report_ms={} pace={:.1}",
             self.id(),
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -33,7 +33,29 @@
     }
 }
 
+/// The crashes while a whole request ran, as log lines show them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OwnCrashes {
+    all: usize,
+    // Those that no other suspect explains.
+    unexplained: usize,
+}
+
+impl fmt::Display for OwnCrashes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "own={} unexplained={}", self.all, self.unexplained)
+    }
+}
+
 impl State {
+    /// The crashes while the request ran.
+    pub(super) fn own_crashes(&self, now: Instant, fingerprint: Fingerprint) -> OwnCrashes {
+        let history = self.gate.history();
+        let (all, unexplained) =
+            (history.crashes(fingerprint), history.unexplained(now, fingerprint));
+        OwnCrashes { all, unexplained }
+    }
+
     /// Number of crashes that may be due to a suspect and were cleared.
     fn cleared_crashes(&self, suspect: Suspect) -> usize {
         self.gate.report(suspect).map_or(0, |r| r.cleared.len())
