--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod crashing_segments;
 mod drain;
 mod explained;
+mod limited_endpoints;
 mod lost_answers;
 mod refused_bodies;
 mod requests;
