Gateways keep the request rate that an endpoint names, all together

What callers saw: nothing at first; an engine in need that named 1 request/s got 14 and 15 in 4 s (11 allowed). Cause: nothing read the header Server-Limit. The class: a limit that belongs to the receiver, for the sum of all senders, which no sender can keep by itself. Fix: core::limits::EndpointLimits. Each gateway counts the requests of all gateways against one allowance, which accrues at the rate; reports carry what each has sent since it heard of the limit, so that a lost one is made up by the next. Those that compete send in a random order, a turn apart. Endpoints without a limit come first. A request that can't be sent before its time to wait is over is refused at once, with the time after which it can.

--- a/src/core/forwarding/decision.rs
+++ b/src/core/forwarding/decision.rs
@@ -16,6 +16,8 @@
     Full,
     /// No endpoint loaded the model in time.
     NotResident,
+    /// Every eligible endpoint limits its requests, and none takes one more in time.
+    Limited,
     /// The model is not configured.
     UnknownModel,
     /// The service is not configured.
--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -4,7 +4,8 @@
 //! the prompt tokens that an engine prefills at a time are bounded, so that running
 //! streams do not stall. When a model is not loaded, or only on busy engines, the
 //! request waits for the load within its time limit. Slow endpoints are chosen
-//! less often, by their measured latency.
+//! less often, by their measured latency. Endpoints that limit their requests get those for
+//! which no other one has room, and what they can't take in time is refused at once.
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
@@ -22,6 +23,7 @@
         },
     },
     ids::{EndpointId, ModelName},
+    limits::EndpointLimits,
 };
 
 /// Identifies a queued or running request.
@@ -37,6 +39,8 @@
 const WAIT_SHARE_OF_DEADLINE: f64 = 0.45;
 /// Minimum retry delay reported to a refused caller.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(1200);
+/// Longest retry delay reported where endpoints limit their requests.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 /// After this time without a load, the adapter is requested again, possibly at
 /// another endpoint.
 const WANTED_ADAPTER_LIFETIME: Duration = Duration::from_millis(500);
@@ -89,6 +93,10 @@
     recently_used: HashMap<EndpointId, HashSet<ModelRef>>,
     pub(super) processes: usize,
     pub(super) subset: EndpointSubset,
+    pub(super) limits: EndpointLimits,
+    // Requests wait for an endpoint that limits them, or were sent there: other processes
+    // have to know.
+    limits_changed: bool,
     // Set at shutdown: requests still queued then are refused, since the process exits
     // soon after.
     max_wait_until: Option<Instant>,
@@ -111,6 +119,8 @@
             recently_used: HashMap::new(),
             processes: 1,
             subset: EndpointSubset::SINGLE,
+            limits: EndpointLimits::new(seed),
+            limits_changed: false,
             max_wait_until: None,
         }
     }
@@ -126,6 +136,21 @@
         self.processes = processes.max(1);
     }
 
+    /// The request rates that endpoints name.
+    pub fn limits(&self) -> &EndpointLimits {
+        &self.limits
+    }
+
+    /// The same, to record what endpoints and other processes say.
+    pub fn limits_mut(&mut self) -> &mut EndpointLimits {
+        &mut self.limits
+    }
+
+    /// Whether other processes have to be told of [`Self::limits`] since the last call.
+    pub fn take_limits_changed(&mut self) -> bool {
+        std::mem::take(&mut self.limits_changed)
+    }
+
     /// Sets the subset of the engines that this process prefers.
     pub fn set_subset(&mut self, subset: EndpointSubset) {
         self.subset = subset;
@@ -221,6 +246,7 @@
         self.cached_segments.retain(|id, _| registry.get(id).is_some());
         self.avoided_until.retain(|id, _| registry.get(id).is_some());
         self.replaced_until.retain(|id, _| registry.get(id).is_some());
+        self.limits.retain(|id| registry.get(id).map(|e| e.registration.started_ms));
     }
 
     /// Number of queued requests.
@@ -274,9 +300,13 @@
     ) -> Vec<(Ticket, Decision)> {
         let mut decisions = Vec::new();
         self.wanted_adapters.retain(|_, since| now < *since + WANTED_ADAPTER_LIFETIME);
+        self.limits.refill(now);
+        let mut queued = HashMap::new();
         for key in self.queue_order(now) {
             let Some(request) = self.queue.get(&key).cloned() else { continue };
-            let Some(decision) = self.decide(now, table, registry, &request) else { continue };
+            let Some(decision) = self.decide(now, table, registry, &request, &mut queued) else {
+                continue;
+            };
             self.queue.remove(&key);
             if let Decision::Send(endpoint) = &decision {
                 self.start(now, &request, endpoint);
@@ -301,6 +331,7 @@
         table: &RouteTable,
         registry: &EndpointRegistry,
         request: &QueuedRequest,
+        queued: &mut HashMap<EndpointId, usize>,
     ) -> Option<Decision> {
         let Some(service) = table.service(&request.service).cloned() else {
             return Some(Decision::Refuse(RefusalReason::UnknownService, MIN_RETRY_AFTER));
@@ -308,8 +339,12 @@
         if let Some(reason) = unknown_model(&service, &request.requirements) {
             return Some(Decision::Refuse(reason, MIN_RETRY_AFTER));
         }
-        let Selection { best, usable, resident } =
+        let Selection { best, usable, resident, all_limited, limited } =
             self.select_endpoint(now, registry, &service, request);
+        let until_allowed = match best {
+            None => self.wait_for_limit(now, limited, queued),
+            Some(_) => None,
+        };
         match best {
             Some((endpoint, None)) => return Some(Decision::Send(endpoint)),
             Some((_, Some(wanted))) => {
@@ -323,11 +358,33 @@
             (true, true) => RefusalReason::Full,
         };
         let until = self.wait_deadline(request, reason);
+        if let Some(wait) = until_allowed.filter(|wait| all_limited && until <= now + *wait) {
+            let delay = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER).mul_f64(1.0 + self.rng.f64());
+            return Some(Decision::Refuse(RefusalReason::Limited, delay));
+        }
         (until <= now).then(|| {
             Decision::Refuse(reason, self.retry_after(&service, &request.requirements, reason))
         })
     }
 
+    /// Queues a request for the first of these endpoints that takes one more, and returns the
+    /// time until then. `queued` counts the more urgent requests for each.
+    fn wait_for_limit(
+        &mut self,
+        now: Instant,
+        limited: Vec<EndpointId>,
+        queued: &mut HashMap<EndpointId, usize>,
+    ) -> Option<Duration> {
+        let waits = limited.into_iter().map(|endpoint| {
+            let ahead = queued.get(&endpoint).copied().unwrap_or(0);
+            (self.limits.wait(now, &endpoint, ahead), endpoint)
+        });
+        let (wait, endpoint) = waits.min()?;
+        self.limits_changed |= self.limits.want(now, &endpoint);
+        *queued.entry(endpoint).or_default() += 1;
+        Some(wait)
+    }
+
     /// When a request that cannot be sent for this reason is refused.
     fn wait_deadline(&self, request: &QueuedRequest, reason: RefusalReason) -> Instant {
         let until_deadline = request.deadline.saturating_duration_since(request.since);
@@ -358,6 +415,7 @@
 
     fn start(&mut self, now: Instant, request: &QueuedRequest, endpoint: &EndpointId) {
         let requirements = &request.requirements;
+        self.limits_changed |= self.limits.take(endpoint);
         let prompt_tokens = self.tokens_to_prefill(endpoint, requirements);
         let load = self.loads.entry(endpoint.clone()).or_default();
         let backlog = load.backlog_tokens(now);
--- a/src/core/forwarding/selection.rs
+++ b/src/core/forwarding/selection.rs
@@ -55,6 +55,9 @@
 const ADAPTER_LOADING_COST_MS: f64 = 40.0;
 /// Range of the hash-based scores that rank endpoints for an adapter.
 const MAX_SPREAD_MS: f64 = 80.0;
+/// Score penalty for an endpoint that limits its requests, which is selected only if all
+/// others without a limit are full.
+const LIMITED_COST_MS: f64 = 5_000.0;
 /// Score penalty for an avoided endpoint, which is selected only if all others are full.
 const AVOIDED_COST_MS: f64 = 10_000.0;
 
@@ -91,6 +94,10 @@
     pub(super) usable: bool,
     /// Whether any of those has the model loaded.
     pub(super) resident: bool,
+    /// Whether all of those limit their requests.
+    pub(super) all_limited: bool,
+    /// Those that limit their requests and have room otherwise.
+    pub(super) limited: Vec<EndpointId>,
 }
 
 impl Dispatcher {
@@ -115,11 +122,20 @@
             self.locality.sort_key(a).cmp(&self.locality.sort_key(b))
         });
         let resident = eligible.iter().any(untried);
+        let mut untried_endpoints = eligible.iter().copied().filter(untried);
+        let all_limited = untried_endpoints.all(|e| self.limits.rate(e.id()).is_some());
+        let mut limited = Vec::new();
         let count = eligible.len();
         for (position, endpoint) in eligible.into_iter().enumerate().filter(|(_, e)| untried(e)) {
             let share = self.subset.share(position, count);
             let score = self.score(now, service, endpoint, &request.requirements, share);
             let Some(score) = score else { continue };
+            if self.limits.rate(endpoint.id()).is_some() {
+                limited.push(endpoint.id().clone());
+                if !self.limits.wait(now, endpoint.id(), 0).is_zero() {
+                    continue;
+                }
+            }
             let jitter = if service.engine.is_some() { self.rng.f64() * JITTER_MS } else { 0.0 };
             let score = score + jitter;
             let missing_adapter = service
@@ -137,7 +153,7 @@
             }
         }
         let best = best.map(|(_, endpoint, missing_adapter)| (endpoint, missing_adapter));
-        Selection { best, usable, resident }
+        Selection { best, usable, resident, all_limited, limited }
     }
 
     /// Expected milliseconds to a response plus penalties; `None` if the endpoint is full.
@@ -157,7 +173,9 @@
             return None;
         }
         let avoidance = if avoided { AVOIDED_COST_MS } else { 0.0 };
-        let penalty = avoidance + self.locality.distance_ms(&endpoint.registration.zone);
+        let is_limited = self.limits.rate(endpoint.id()).is_some();
+        let limit = if is_limited { LIMITED_COST_MS } else { 0.0 };
+        let penalty = avoidance + limit + self.locality.distance_ms(&endpoint.registration.zone);
         let latency = match &service.engine {
             Some(spec) => self.engine_score(now, spec, endpoint, load, requirements, share)?,
             None => service_score(endpoint, load)?,
--- a/src/core/limits/mod.rs
+++ b/src/core/limits/mod.rs
@@ -1,9 +1,13 @@
 //! Rate and concurrency limits, retry budgets and the fair queue of an endpoint.
 
+mod endpoint_limits;
 mod fair_queue;
+mod limited_endpoint;
 mod tenant_limits;
 mod token_bucket;
 
+pub use endpoint_limits::{EndpointLimits, LimitChange, LimitReport, NamedLimit, ProcessId};
 pub use fair_queue::{FairQueue, Flow, Popped};
+pub use limited_endpoint::ProcessLoad;
 pub use tenant_limits::{Limits, TenantLimits};
 pub use token_bucket::TokenBucket;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod crash_reports;
 mod follow;
 mod forward;
+mod limits;
 mod outbound;
 mod peers;
 mod planner;
--- a/src/gateway/outbound.rs
+++ b/src/gateway/outbound.rs
@@ -14,6 +14,7 @@
 use crate::{
     core::ids::EndpointId,
     gateway::{
+        limits,
         shared::SharedState,
         upstream::{Connection, SendError},
     },
@@ -62,6 +63,7 @@
         address: SocketAddr,
         last_event: Option<String>,
     ) -> Result<SentRequest, AttemptError> {
+        let sent_at = Instant::now();
         let (response, connection) =
             self.exchange(&endpoint, address, last_event.as_deref()).await?;
         let head = platform::parse_response_head(response.status(), response.headers(), &self.id);
@@ -70,6 +72,9 @@
                 "the response belongs to another request".to_owned(),
             ));
         }
+        if head.not_run != Some(NotRunReason::Elsewhere) {
+            limits::record_response(&self.shared, &self.id, &endpoint, sent_at, head.limit);
+        }
         if let Some(reason) = head.not_run {
             self.drain_refusal(response, head, connection).await;
             return Err(AttemptError::NotRun(reason));
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -22,6 +22,7 @@
     },
     gateway::{
         crash_reports::{self, CrashReporter},
+        limits,
         planner::{self, AgentInfo, Planner},
         shared::{self, SharedState},
     },
@@ -94,6 +95,7 @@
             }
             () = shared.peer_update_due.notified() =>
                 peers.send_to_gateways(&shared, &socket, true),
+            () = shared.limits_changed.notified() => peers.send_limits(&shared, &socket),
             () = shared.adapter_wanted.notified() => send_adapter_requests(&shared, &socket, own),
             received = socket.receive() => {
                 if let Ok((from, body)) = received {
@@ -157,6 +159,7 @@
             }
             Body::EngineLoad(load) => self.receive_engine_load(shared, now, &load),
             Body::CrashReports(reports) => crash_reports::receive(shared, from, reports),
+            Body::LimitReports(reports) => limits::receive(shared, from, reports),
             Body::Hello(_) => {}
         }
     }
@@ -286,11 +289,11 @@
     fn send_to_gateways(&mut self, shared: &SharedState, socket: &Socket, at_once: bool) {
         let now = Instant::now();
         let serving = shared.is_ready();
-        let (reports, demand, zone) = {
+        let (reports, limits, demand, zone) = {
             let state = shared.lock();
             let reports = self.crash_reporter.take_due(now, &state.gate);
             let zone = state.dispatcher.locality().zone.to_string();
-            (reports, planner::own_demand(now, &state), zone)
+            (reports, state.limit_reports(now), planner::own_demand(now, &state), zone)
         };
         let broadcast = at_once || self.is_broadcast_due(now);
         if broadcast {
@@ -308,12 +311,24 @@
             } else if broadcast {
                 socket.send(*address, Body::GatewayStatus(without_demand.clone()));
             }
+            for limits in limits.iter().filter(|_| broadcast) {
+                socket.send(*address, Body::LimitReports(limits.clone()));
+            }
             for reports in reports.for_peer(address, broadcast) {
                 socket.send(*address, Body::CrashReports(reports.clone()));
             }
         }
     }
 
+    /// Sends what changed of limits to all other gateways.
+    fn send_limits(&self, shared: &SharedState, socket: &Socket) {
+        let latest = shared.lock().limit_reports(Instant::now()).into_iter().next();
+        let Some(latest) = latest else { return };
+        for address in self.gateways.keys() {
+            socket.send(*address, Body::LimitReports(latest.clone()));
+        }
+    }
+
     fn is_broadcast_due(&self, now: Instant) -> bool {
         let due = self.last_broadcast.is_none_or(|at| at + BROADCAST_INTERVAL <= now);
         due || self.rounds < INITIAL_BROADCASTS
--- a/src/gateway/refusals.rs
+++ b/src/gateway/refusals.rs
@@ -22,6 +22,10 @@
         RefusalReason::NotResident => {
             (Code::NotResident, "no endpoint can have the model loaded in time")
         }
+        RefusalReason::Limited => (
+            Code::QueueFull,
+            "every endpoint that could serve the request limits its rate of requests",
+        ),
         RefusalReason::UnknownModel => (Code::NotResident, "the configuration has no such model"),
         RefusalReason::UnknownService => {
             (Code::NoEndpoint, "the route's service is not configured")
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -99,6 +99,8 @@
     pub(super) request_queued: Notify,
     // Triggers a message to all peers before the next regular one is due.
     pub(super) peer_update_due: Notify,
+    // Triggers a message to all peers about requests to endpoints that limit them.
+    pub(super) limits_changed: Notify,
     // Triggers messages to agents when requests wait for an adapter to be loaded.
     pub(super) adapter_wanted: Notify,
     // Wakes requests that wait for the end of another run or for a crash check.
@@ -134,6 +136,7 @@
             pool: ConnectionPool::default(),
             request_queued: Notify::new(),
             peer_update_due: Notify::new(),
+            limits_changed: Notify::new(),
             adapter_wanted: Notify::new(),
             runs_changed: Notify::new(),
             report_unsaved: Notify::new(),
@@ -165,6 +168,11 @@
         self.lock().registry.iter().filter(|e| e.is_usable()).count()
     }
 
+    /// Number of endpoints that name a limit on their requests.
+    pub fn limited_endpoints(&self) -> usize {
+        self.lock().dispatcher.limits().len()
+    }
+
     /// Number of requests that wait for an endpoint.
     pub fn waiting_requests(&self) -> usize {
         self.lock().dispatcher.waiting()
@@ -319,6 +327,9 @@
         if wanted_before < state.dispatcher.wanted_adapters().count() {
             self.adapter_wanted.notify_one();
         }
+        if state.dispatcher.take_limits_changed() {
+            self.limits_changed.notify_one();
+        }
         gauge!(names::WAITING).set(state.dispatcher.waiting() as f64);
     }
 
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -8,6 +8,7 @@
 
 pub use messages::{
     Body, CachedRecord, CachedRecords, ChangeKind, CrashReport, CrashReports, Datagram, Demand,
-    EngineLoad, EngineStatus, GatewayStatus, Hello, LoadedModel, ResidencyChange, SuspectKind,
+    EngineLoad, EngineStatus, GatewayStatus, Hello, InvalidRate, LimitReport, LimitReports,
+    LoadedModel, ResidencyChange, SuspectKind,
 };
 pub use socket::{MAX_DATAGRAM_BYTES, Socket, rotating_subset};
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -11,6 +11,7 @@
     forwarding::{PromptSegment, Requirements},
     hash,
     ids::HeaderHash,
+    limits::NamedLimit,
 };
 
 /// Path of the readiness check of a process.
@@ -27,6 +28,7 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 const SIGNATURE: HeaderName = HeaderName::from_static("x-response-signature");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
 /// Largest value of the priority header; 0 is the most urgent.
 const LOWEST_PRIORITY: u8 = 9;
@@ -227,7 +229,7 @@
 }
 
 /// Content of the head of an endpoint's response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
     /// Whether the response has the id of the request, or none.
     pub matches_request: bool,
@@ -243,6 +245,8 @@
     /// Whether the body has neither a length nor chunks, so that the end of the connection
     /// is its end. The connection also ends when the endpoint crashes.
     pub ends_with_connection: bool,
+    /// The rate of requests that the endpoint takes.
+    pub limit: NamedLimit,
 }
 
 impl ResponseHead {
@@ -285,9 +289,31 @@
         keep_alive: idle_seconds.map(|s: u64| Duration::from_secs(s.min(MAX_KEEP_ALIVE_S))),
         closes_connection: connection_options(headers).iter().any(|o| o == "close"),
         ends_with_connection: has_body(status) && !is_framed(headers),
+        limit: named_limit(headers),
     }
 }
 
+/// The rate that a response names. Of several, also in a list, the lowest holds.
+///
+/// ```
+/// use goldcrestpitch::{core::limits::NamedLimit, platform::named_limit};
+/// let mut headers = hyper::HeaderMap::new();
+/// assert_eq!(named_limit(&headers), NamedLimit::None);
+/// headers.insert("server-limit", "2.5, 1.5".parse().unwrap());
+/// assert_eq!(named_limit(&headers), NamedLimit::Rate(1.5));
+/// headers.insert("server-limit", "-1".parse().unwrap());
+/// assert_eq!(named_limit(&headers), NamedLimit::Invalid);
+/// ```
+pub fn named_limit(headers: &HeaderMap) -> NamedLimit {
+    if !headers.contains_key(&RATE_LIMIT) {
+        return NamedLimit::None;
+    }
+    let values = headers.get_all(&RATE_LIMIT).into_iter().filter_map(|v| v.to_str().ok());
+    let rates = values.flat_map(|v| v.split(',')).filter_map(|t| t.trim().parse::<f64>().ok());
+    let rates = rates.filter(|rate| rate.is_finite() && 0.0 <= *rate);
+    rates.min_by(f64::total_cmp).map_or(NamedLimit::Invalid, NamedLimit::Rate)
+}
+
 /// Whether a response with this status may have a body.
 fn has_body(status: StatusCode) -> bool {
     !status.is_informational()
--- a/tests/gateway/limited_endpoints.rs
+++ b/tests/gateway/limited_endpoints.rs
@@ -1,8 +1,11 @@
 //! Endpoints that name the rate of requests that they take.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use crate::{
@@ -44,7 +47,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn endpoint_gets_no_more_requests_than_it_names() {
     run(async {
         let endpoint = limited_endpoint("server-limit: 0.01\r\n").await;
@@ -55,7 +57,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn streams_name_limits_too() {
     run(async {
         let endpoint = ScriptedEndpoint::start(|request| {
@@ -73,7 +74,6 @@
 
 /// The endpoint refuses each request, and each could be retried there.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn refusals_name_limits_too() {
     run(async {
         let endpoint = ScriptedEndpoint::start(|request| {
@@ -89,7 +89,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn requests_go_to_endpoints_without_a_limit() {
     run(async {
         let limited = limited_endpoint("server-limit: 0.01\r\n").await;
@@ -101,7 +100,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn lowest_of_several_values_holds() {
     run(async {
         let endpoint = limited_endpoint("server-limit: 1000\r\nserver-limit: 0.01\r\n").await;
@@ -125,13 +123,12 @@
 
 /// The endpoint names a limit until the test says otherwise.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn limit_ends_with_a_response_that_names_none() {
     run(async {
         let is_limited = Arc::new(AtomicBool::new(true));
         let flag = is_limited.clone();
         let endpoint = ScriptedEndpoint::start(move |r| match flag.load(Ordering::Relaxed) {
-            true => answer(r, "server-limit: 2\r\n"),
+            true => answer(r, "server-limit: 1\r\n"),
             false => http_response("200 OK", r.id(), "fine"),
         })
         .await;
@@ -141,3 +138,24 @@
         while served(&gateway, "/read/1").await < REQUESTS {}
     });
 }
+
+/// The second gateway learns of the limit from the first one, and both count the requests of
+/// each other.
+#[test]
+fn gateways_share_the_limit() {
+    run(async {
+        let endpoint = limited_endpoint("server-limit: 0.01\r\n").await;
+        let first = TestGateway::start(&[&endpoint]).await;
+        let vm = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2));
+        let address = SocketAddr::new(vm, first.peer_address.port());
+        let seeds = vec![first.peer_address.ip()];
+        let second = TestGateway::start_with(first.log.clone(), address, seeds).await;
+        second.wait_for_version(1).await;
+        second.wait_for_endpoints(1).await;
+        assert_eq!(first.send("POST", "/read/1", "", "body").await.status, 200);
+        second.wait_until(|g| g.process.shared().limited_endpoints() == 1).await;
+        served(&second, "/read/1").await;
+        served(&first, "/read/1").await;
+        assert!(endpoint.requests().len() <= ALLOWED, "{}", endpoint.requests().len());
+    });
+}
