Models of engines that limit their requests get replicas elsewhere

Cause: the planner counted an engine that takes one request a second as a whole replica, so a model with no other copy stayed short of capacity for as long as the limit held. Change: such an engine is planned without its models, and gets no others, while the demand for them is above its rate. The test fails without it (no change is planned).

--- a/src/core/placement/fleet_planner.rs
+++ b/src/core/placement/fleet_planner.rs
@@ -43,7 +43,7 @@
 const EVICTION_COOLDOWN: Duration = Duration::from_secs(4);
 
 /// State of one engine at the time of planning.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineSnapshot {
     /// Engine ID.
     pub id: EndpointId,
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -12,7 +12,7 @@
     core::{
         forwarding::{EndpointState, ServiceName},
         ids::{EndpointId, Mib, ModelName},
-        placement::{EngineSnapshot, FleetPlanner, ModelDemand, PlacementChange},
+        placement::{EngineSnapshot, FleetPlanner, ModelDemand, PlacementChange, discount_limited},
     },
     gateway::shared::State,
     gossip::{ChangeKind, Demand, ResidencyChange},
@@ -73,8 +73,10 @@
         let mut changes = Vec::new();
         for service in table.services() {
             let Some(spec) = &service.engine else { continue };
-            let engines = engines(state, &service.name, agents);
+            let mut engines = engines(state, &service.name, agents);
             let demand = demand_by_model(demand, &service.name);
+            let limits = state.dispatcher.limits();
+            discount_limited(&mut engines, &demand, |id| limits.rate(id));
             let planner = self.planners.entry(service.name.clone());
             let planner = planner.or_insert_with(|| FleetPlanner::new(now));
             changes.extend(planner.plan(now, spec, &engines, &demand));
--- a/tests/placement/fleet_planner.rs
+++ b/tests/placement/fleet_planner.rs
@@ -8,7 +8,7 @@
 use goldcrestpitch::core::{
     forwarding::{EngineSpec, ModelSpec},
     ids::ModelName,
-    placement::{EngineSnapshot, FleetPlanner, ModelDemand, PlacementChange},
+    placement::{EngineSnapshot, FleetPlanner, ModelDemand, PlacementChange, discount_limited},
 };
 
 const LARGE: u64 = 34;
@@ -226,3 +226,26 @@
         assert_eq!(change.unload, [engine.loaded[1].clone()]);
     }
 }
+
+/// The only engine with a model takes fewer requests than callers send.
+#[test]
+fn model_of_an_engine_that_limits_its_requests_gets_another_replica() {
+    let mut fleet = Fleet::new(6, 6, false);
+    let demand = HashMap::from([(name(0), ModelDemand { tokens_per_s: 3000.0, waiting: 0 })]);
+    let limited = fleet.engines[0].id.clone();
+    let plan = |fleet: &mut Fleet, rate: f64| {
+        let mut engines = fleet.engines.clone();
+        discount_limited(&mut engines, &demand, |id| (*id == limited).then_some(rate));
+        fleet.planner.plan(fleet.now, &fleet.spec, &engines, &demand)
+    };
+    fleet.now += Duration::from_secs(30);
+    for engine in &mut fleet.engines {
+        engine.loaded.retain(|m| *m != name(0));
+    }
+    fleet.engines[0].loaded.push(name(0));
+    assert_eq!(plan(&mut fleet, 3.0), []);
+    let changes = plan(&mut fleet, 1.0);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].load, name(0));
+    assert_ne!(changes[0].engine, limited);
+}
