What limits show in logs, metrics and pages; failures end no limit

A failure without the header may come from a part of the engine that does not know of the limit, so that only a successful response ends one. The page's lines are compared with logged ones by gateway::explained.

--- a/src/gateway/outbound.rs
+++ b/src/gateway/outbound.rs
@@ -12,7 +12,7 @@
 use tokio::time;
 
 use crate::{
-    core::ids::EndpointId,
+    core::{ids::EndpointId, limits::NamedLimit},
     gateway::{
         limits,
         shared::SharedState,
@@ -72,7 +72,9 @@
                 "the response belongs to another request".to_owned(),
             ));
         }
-        if head.not_run != Some(NotRunReason::Elsewhere) {
+        // A failure without a limit does not end one.
+        let says_limit = response.status().is_success() || head.limit != NamedLimit::None;
+        if says_limit && head.not_run != Some(NotRunReason::Elsewhere) {
             limits::record_response(&self.shared, &self.id, &endpoint, sent_at, head.limit);
         }
         if let Some(reason) = head.not_run {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -273,12 +273,20 @@
     /// Logs the chosen endpoint with the load figures behind the choice.
     pub(super) fn log_sent(&self, endpoint: &EndpointId) {
         let now = Instant::now();
-        let load = self.shared.lock().dispatcher.load(endpoint).clone();
+        let (load, limit, limited) = {
+            let dispatcher = &self.shared.lock().dispatcher;
+            let limits = dispatcher.limits();
+            (dispatcher.load(endpoint).clone(), limits.rate(endpoint), limits.len())
+        };
+        if limit.is_some() {
+            counter!(names::LIMITED_SENDS, "endpoint" => endpoint.to_string()).increment(1);
+        }
         let (suspect, crashes, own) = self.likeliest_suspect();
         info!(
             "event=sent id={} fingerprint={:016x} suspect={suspect} crashes={crashes} {own} \
              endpoint={endpoint} attempt={} waited_ms={} \
-             left_ms={} tokens={} running={} unread={} reading={:.0} report_ms={} pace={:.1}",
+             left_ms={} tokens={} running={} unread={} reading={:.0} report_ms={} pace={:.1} \
+             limit={} limited={limited}",
             self.id(),
             self.key.fingerprint,
             self.tried.len() + 1,
@@ -290,6 +298,7 @@
             load.prefill_tokens(now),
             load.report_age(now).map_or(-1, |age| age.as_millis() as i64),
             load.slowdown(),
+            limit.map_or_else(|| "-".to_owned(), |rate| rate.to_string()),
         );
     }
 
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -14,6 +14,8 @@
 pub const REQUESTS: &str = "goldcrestpitch_requests_total";
 /// Requests that met their latency targets, by tenant and class.
 pub const ATTAINED: &str = "goldcrestpitch_attained_total";
+/// Requests sent to endpoints that name a limit, by endpoint.
+pub const LIMITED_SENDS: &str = "goldcrestpitch_limited_sends_total";
 /// Refused requests, by result code.
 pub const REFUSALS: &str = "goldcrestpitch_refusals_total";
 /// Retries (attempts after the first), by reason; in a gateway, by whether the retry budget
--- a/tests/gateway/explained.rs
+++ b/tests/gateway/explained.rs
@@ -9,7 +9,8 @@
 use crate::{
     run,
     scripted_endpoint::{
-        ReceivedRequest, ScriptedEndpoint, Step, chunk, events, http_response, stream_head,
+        ReceivedRequest, ScriptedEndpoint, Step, chunk, events, http_response, response_head,
+        stream_head,
     },
     test_gateway::TestGateway,
 };
@@ -129,6 +130,24 @@
     }
 }
 
+/// An endpoint names a limit in its first response, which another gateway learns, and none in
+/// the next one.
+async fn name_and_end_a_limit() {
+    let endpoint = ScriptedEndpoint::start(|request| {
+        let limit = if request.index == 0 { "server-limit: 4\r\n" } else { "" };
+        let headers = format!("content-length: 4\r\n{limit}");
+        vec![Step::Send((response_head("200 OK", request.id(), &headers) + "fine").into_bytes())]
+    })
+    .await;
+    let first = TestGateway::start(&[&endpoint]).await;
+    let second = first.start_peer(2).await;
+    second.wait_for_endpoints(1).await;
+    first.send("POST", "/read/1", "x-request-id: limited-0\r\n", "").await;
+    second.wait_until(|g| g.process.shared().limited_endpoints() == 1).await;
+    first.send("POST", "/read/1", "x-request-id: limited-1\r\n", "").await;
+    first.wait_until(|g| g.process.shared().limited_endpoints() == 0).await;
+}
+
 #[test]
 fn operations_page_matches_logged_fields() {
     install_capture_logger();
@@ -139,6 +158,7 @@
         crash_endpoints().await;
         crash_endpoints_by_a_segment().await;
         clear_a_suspect().await;
+        name_and_end_a_limit().await;
     });
     assert_eq!(events_for_request("refused-1"), ["refused", "request_end"]);
     assert_eq!(events_for_request("failed-1"), ["sent", "broken", "refused", "request_end"]);
@@ -170,6 +190,7 @@
         goldcrestpitch::telemetry::names::RETRIES,
         goldcrestpitch::telemetry::names::SUSPECTED_CRASHES,
         goldcrestpitch::telemetry::names::WAITING,
+        goldcrestpitch::telemetry::names::LIMITED_SENDS,
         goldcrestpitch::telemetry::names::STORE_FAILURES,
         goldcrestpitch::telemetry::names::LOG_LINES_LEFT_OUT,
     ] {
--- a/tests/gateway/limited_endpoints.rs
+++ b/tests/gateway/limited_endpoints.rs
@@ -1,11 +1,8 @@
 //! Endpoints that name the rate of requests that they take.
 
-use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
 };
 
 use crate::{
@@ -146,11 +143,7 @@
     run(async {
         let endpoint = limited_endpoint("server-limit: 0.01\r\n").await;
         let first = TestGateway::start(&[&endpoint]).await;
-        let vm = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2));
-        let address = SocketAddr::new(vm, first.peer_address.port());
-        let seeds = vec![first.peer_address.ip()];
-        let second = TestGateway::start_with(first.log.clone(), address, seeds).await;
-        second.wait_for_version(1).await;
+        let second = first.start_peer(2).await;
         second.wait_for_endpoints(1).await;
         assert_eq!(first.send("POST", "/read/1", "", "body").await.status, 200);
         second.wait_until(|g| g.process.shared().limited_endpoints() == 1).await;
--- a/tests/gateway/test_gateway.rs
+++ b/tests/gateway/test_gateway.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    net::{IpAddr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
 };
 
@@ -130,6 +130,16 @@
         Self { log, store, client_address, ready_address, peer_address, process, _stop: stop }
     }
 
+    /// Starts another gateway on the VM with this number, which knows this one and its routes.
+    pub async fn start_peer(&self, vm: u8) -> Self {
+        let vm = IpAddr::V4(Ipv4Addr::new(127, 0, 0, vm));
+        let address = SocketAddr::new(vm, self.peer_address.port());
+        let seeds = vec![self.peer_address.ip()];
+        let peer = Self::start_with(self.log.clone(), address, seeds).await;
+        peer.wait_for_version(1).await;
+        peer
+    }
+
     /// Starts a gateway and waits until it knows the default routes and the endpoints.
     pub async fn start(endpoints: &[&ScriptedEndpoint]) -> Self {
         let gateway = Self::start_unconfigured().await;
