--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -15,12 +15,12 @@
 use crate::core::{
     forwarding::{
         Decision, EndpointLoad, EndpointRegistry, EndpointSubset, LoadReport, ModelRef,
-        RefusalReason, Requirements, Route, RouteKind, RouteTable, Service, ServiceName,
-        WantedAdapter,
+        RefusalReason, Requirements, Route, RouteKind, RouteTable, ServiceName, WantedAdapter,
         selection::{
             BASE_FIRST_TOKEN_TIME, BASE_RESPONSE_TIME, Locality, PREFILL_TOKENS_PER_MS, Selection,
             segment_key, unknown_model,
         },
+        waits::MIN_RETRY_AFTER,
     },
     ids::{EndpointId, ModelName},
     limits::EndpointLimits,
@@ -32,15 +32,6 @@
 /// Share of the latency target after which a queued request counts as late: it can
 /// no longer be answered within the target.
 const ON_TIME_SHARE_OF_TARGET: f64 = 0.8;
-/// Longest wait for a free endpoint, as a share of the latency target. It exceeds 1
-/// because a late response serves the caller better than none.
-const WAIT_SHARE_OF_TARGET: f64 = 1.6;
-/// Longest wait for a model to load, as a share of the time until the deadline.
-const WAIT_SHARE_OF_DEADLINE: f64 = 0.45;
-/// Minimum retry delay reported to a refused caller.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(1200);
-/// Longest retry delay reported where endpoints limit their requests.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
 /// After this time without a load, the adapter is requested again, possibly at
 /// another endpoint.
 const WANTED_ADAPTER_LIFETIME: Duration = Duration::from_millis(500);
@@ -96,10 +87,10 @@
     pub(super) limits: EndpointLimits,
     // Requests wait for an endpoint that limits them, or were sent there: other processes
     // have to know.
-    limits_changed: bool,
+    pub(super) limits_changed: bool,
     // Set at shutdown: requests still queued then are refused, since the process exits
     // soon after.
-    max_wait_until: Option<Instant>,
+    pub(super) max_wait_until: Option<Instant>,
 }
 
 impl Dispatcher {
@@ -136,21 +127,6 @@
         self.processes = processes.max(1);
     }
 
-    /// The request rates that endpoints name.
-    pub fn limits(&self) -> &EndpointLimits {
-        &self.limits
-    }
-
-    /// The same, to record what endpoints and other processes say.
-    pub fn limits_mut(&mut self) -> &mut EndpointLimits {
-        &mut self.limits
-    }
-
-    /// Whether other processes have to be told of [`Self::limits`] since the last call.
-    pub fn take_limits_changed(&mut self) -> bool {
-        std::mem::take(&mut self.limits_changed)
-    }
-
     /// Sets the subset of the engines that this process prefers.
     pub fn set_subset(&mut self, subset: EndpointSubset) {
         self.subset = subset;
@@ -359,60 +335,13 @@
         };
         let until = self.wait_deadline(request, reason);
         if let Some(wait) = until_allowed.filter(|wait| all_limited && until <= now + *wait) {
-            let delay = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER).mul_f64(1.0 + self.rng.f64());
-            return Some(Decision::Refuse(RefusalReason::Limited, delay));
+            return Some(self.refuse_limited(wait));
         }
         (until <= now).then(|| {
             Decision::Refuse(reason, self.retry_after(&service, &request.requirements, reason))
         })
     }
 
-    /// Queues a request for the first of these endpoints that takes one more, and returns the
-    /// time until then. `queued` counts the more urgent requests for each.
-    fn wait_for_limit(
-        &mut self,
-        now: Instant,
-        limited: Vec<EndpointId>,
-        queued: &mut HashMap<EndpointId, usize>,
-    ) -> Option<Duration> {
-        let waits = limited.into_iter().map(|endpoint| {
-            let ahead = queued.get(&endpoint).copied().unwrap_or(0);
-            (self.limits.wait(now, &endpoint, ahead), endpoint)
-        });
-        let (wait, endpoint) = waits.min()?;
-        self.limits_changed |= self.limits.want(now, &endpoint);
-        *queued.entry(endpoint).or_default() += 1;
-        Some(wait)
-    }
-
-    /// When a request that cannot be sent for this reason is refused.
-    fn wait_deadline(&self, request: &QueuedRequest, reason: RefusalReason) -> Instant {
-        let until_deadline = request.deadline.saturating_duration_since(request.since);
-        let max_wait = match reason {
-            RefusalReason::NotResident => until_deadline.mul_f64(WAIT_SHARE_OF_DEADLINE),
-            _ => request.target.mul_f64(WAIT_SHARE_OF_TARGET).min(until_deadline / 2),
-        };
-        let until = request.since + max_wait;
-        self.max_wait_until.map_or(until, |last| until.min(last))
-    }
-
-    fn retry_after(
-        &mut self,
-        service: &Service,
-        requirements: &Requirements,
-        reason: RefusalReason,
-    ) -> Duration {
-        let base = match reason {
-            RefusalReason::NotResident => {
-                let model = requirements.model.as_ref();
-                let spec = service.engine.as_ref().zip(model);
-                spec.and_then(|(e, m)| e.models.get(m)).map_or(MIN_RETRY_AFTER, |m| m.load_time)
-            }
-            _ => MIN_RETRY_AFTER,
-        };
-        base.mul_f64(1.0 + self.rng.f64())
-    }
-
     fn start(&mut self, now: Instant, request: &QueuedRequest, endpoint: &EndpointId) {
         let requirements = &request.requirements;
         self.limits_changed |= self.limits.take(endpoint);
--- a/src/core/forwarding/mod.rs
+++ b/src/core/forwarding/mod.rs
@@ -11,6 +11,7 @@
 mod routes;
 mod selection;
 mod subset;
+mod waits;
 
 pub use decision::{Decision, ModelRef, RefusalReason, WantedAdapter};
 pub use dispatcher::{Dispatcher, Ticket};
--- /dev/null
+++ b/src/core/forwarding/waits.rs
@@ -0,0 +1,95 @@
+//! How long requests wait for an endpoint, also for one that limits its rate, and when
+//! refused callers may return.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use crate::core::{
+    forwarding::{
+        Decision, RefusalReason, Requirements, Service,
+        dispatcher::{Dispatcher, QueuedRequest},
+    },
+    ids::EndpointId,
+    limits::EndpointLimits,
+};
+
+/// Longest wait for a free endpoint, as a share of the latency target. It exceeds 1
+/// because a late response serves the caller better than none.
+const WAIT_SHARE_OF_TARGET: f64 = 1.6;
+/// Longest wait for a model to load, as a share of the time until the deadline.
+const WAIT_SHARE_OF_DEADLINE: f64 = 0.45;
+/// Minimum retry delay reported to a refused caller.
+pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(1200);
+/// Longest retry delay reported where endpoints limit their requests.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(10);
+
+impl Dispatcher {
+    /// When a request that cannot be sent for this reason is refused.
+    pub(super) fn wait_deadline(&self, request: &QueuedRequest, reason: RefusalReason) -> Instant {
+        let until_deadline = request.deadline.saturating_duration_since(request.since);
+        let max_wait = match reason {
+            RefusalReason::NotResident => until_deadline.mul_f64(WAIT_SHARE_OF_DEADLINE),
+            _ => request.target.mul_f64(WAIT_SHARE_OF_TARGET).min(until_deadline / 2),
+        };
+        let until = request.since + max_wait;
+        self.max_wait_until.map_or(until, |last| until.min(last))
+    }
+
+    pub(super) fn retry_after(
+        &mut self,
+        service: &Service,
+        requirements: &Requirements,
+        reason: RefusalReason,
+    ) -> Duration {
+        let base = match reason {
+            RefusalReason::NotResident => {
+                let model = requirements.model.as_ref();
+                let spec = service.engine.as_ref().zip(model);
+                spec.and_then(|(e, m)| e.models.get(m)).map_or(MIN_RETRY_AFTER, |m| m.load_time)
+            }
+            _ => MIN_RETRY_AFTER,
+        };
+        base.mul_f64(1.0 + self.rng.f64())
+    }
+
+    /// The request rates that endpoints name.
+    pub fn limits(&self) -> &EndpointLimits {
+        &self.limits
+    }
+
+    /// The same, to record what endpoints and other processes say.
+    pub fn limits_mut(&mut self) -> &mut EndpointLimits {
+        &mut self.limits
+    }
+
+    /// Whether other processes have to be told of [`Self::limits`] since the last call.
+    pub fn take_limits_changed(&mut self) -> bool {
+        std::mem::take(&mut self.limits_changed)
+    }
+
+    /// Queues a request for the first of these endpoints that takes one more, and returns the
+    /// time until then. `queued` counts the more urgent requests for each.
+    pub(super) fn wait_for_limit(
+        &mut self,
+        now: Instant,
+        limited: Vec<EndpointId>,
+        queued: &mut HashMap<EndpointId, usize>,
+    ) -> Option<Duration> {
+        let waits = limited.into_iter().map(|endpoint| {
+            let ahead = queued.get(&endpoint).copied().unwrap_or(0);
+            (self.limits.wait(now, &endpoint, ahead), endpoint)
+        });
+        let (wait, endpoint) = waits.min()?;
+        self.limits_changed |= self.limits.want(now, &endpoint);
+        *queued.entry(endpoint).or_default() += 1;
+        Some(wait)
+    }
+
+    /// The refusal of a request that may be sent after this time.
+    pub(super) fn refuse_limited(&mut self, wait: Duration) -> Decision {
+        let delay = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER).mul_f64(1.0 + self.rng.f64());
+        Decision::Refuse(RefusalReason::Limited, delay)
+    }
+}
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -3,12 +3,13 @@
 //! Nothing is acknowledged or sent again: each message repeats the current state, so
 //! that a lost datagram only delays an update until the next one.
 
+mod limit_reports;
 mod messages;
 mod socket;
 
+pub use limit_reports::{InvalidRate, LimitReport, LimitReports};
 pub use messages::{
     Body, CachedRecord, CachedRecords, ChangeKind, CrashReport, CrashReports, Datagram, Demand,
-    EngineLoad, EngineStatus, GatewayStatus, Hello, InvalidRate, LimitReport, LimitReports,
-    LoadedModel, ResidencyChange, SuspectKind,
+    EngineLoad, EngineStatus, GatewayStatus, Hello, LoadedModel, ResidencyChange, SuspectKind,
 };
 pub use socket::{MAX_DATAGRAM_BYTES, Socket, rotating_subset};
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod bootstrap;
 mod config;
+mod crashing_callers;
 mod crashing_requests;
 mod crashing_segments;
 mod drain;
