--- a/src/core/quarantine/crash_headers.rs
+++ b/src/core/quarantine/crash_headers.rs
@@ -18,18 +18,15 @@
 }
 
 impl CrashHeaders {
-    /// Records the headers of a run at a crash. Returns whether they differ from those of
-    /// another run there.
-    pub(super) fn record(&mut self, crash: CrashId, headers: HeaderHash) -> bool {
+    /// Records the headers of a run at a crash.
+    pub(super) fn record(&mut self, crash: CrashId, headers: HeaderHash) {
         if headers == 0 {
-            return false;
+            return;
         }
         let known = self.by_crash.entry(crash).or_insert(headers);
-        let differs = *known != headers && *known != DIFFERENT;
-        if differs {
+        if *known != headers {
             *known = DIFFERENT;
         }
-        differs
     }
 
     /// Records that a run with these headers was complete.
--- a/src/core/quarantine/crash_history.rs
+++ b/src/core/quarantine/crash_history.rs
@@ -213,13 +213,8 @@
     }
 
     /// Whether the request may run.
-    pub fn verdict(&self, now: Instant, request: impl Into<RequestKey>) -> Verdict {
-        let request = request.into();
-        let fingerprint = request.fingerprint;
+    pub fn verdict(&self, now: Instant, fingerprint: Fingerprint) -> Verdict {
         let Some(suspect) = self.suspects.get(&fingerprint) else { return Verdict::Allowed };
-        if self.is_excused(request) {
-            return Verdict::Allowed;
-        }
         if suspect.set.len() < self.limit || suspect.is_expired(now) {
             return Verdict::Allowed;
         }
--- a/src/core/quarantine/run_permit.rs
+++ b/src/core/quarantine/run_permit.rs
@@ -24,10 +24,12 @@
         if self.has_blamed_segment(now, segments) {
             return RunPermit::Quarantined;
         }
-        match self.history.verdict(now, request) {
+        if self.history.is_excused(request) {
+            return RunPermit::Allowed;
+        }
+        match self.history.verdict(now, fingerprint) {
             Verdict::Quarantined => return RunPermit::Quarantined,
             Verdict::Undecided => return RunPermit::Wait,
-            Verdict::Allowed if self.history.is_excused(request) => return RunPermit::Allowed,
             Verdict::Allowed => {}
         }
         let limit = self.history.limit();
--- a/src/gateway/limits.rs
+++ b/src/gateway/limits.rs
@@ -1,6 +1,6 @@
 //! Limits that endpoints name: what responses say, and the exchange with the other gateways.
 
-use std::{net::SocketAddr, time::Instant};
+use std::{fmt, net::SocketAddr, time::Instant};
 
 use log::{info, warn};
 
@@ -17,6 +17,19 @@
 /// Most datagrams of reports to one peer at a time.
 const MAX_DATAGRAMS: usize = 4;
 
+/// The rate that an endpoint names as log lines show it, `-` if it names none.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RateLabel(pub(super) Option<f64>);
+
+impl fmt::Display for RateLabel {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(rate) => rate.fmt(f),
+            None => f.write_str("-"),
+        }
+    }
+}
+
 /// The id of a gateway, the same in all processes.
 pub(super) fn process_id(address: SocketAddr) -> ProcessId {
     hash::stable(&[address.to_string().as_bytes()])
@@ -40,7 +53,7 @@
     match change {
         None => return,
         Some(LimitChange::Named { rate, previous }) => {
-            let previous = previous.map_or_else(|| "-".to_owned(), |p| p.to_string());
+            let previous = RateLabel(previous);
             info!("event=limit_named endpoint={endpoint} rate={rate} previous={previous} id={id}");
         }
         Some(LimitChange::Ended { previous, age }) => info!(
@@ -69,7 +82,7 @@
         if state.registry.get(&report.endpoint).is_some()
             && state.dispatcher.limits_mut().merge(now, process, &report)
         {
-            let rate = report.rate.map_or_else(|| "-".to_owned(), |r| r.to_string());
+            let rate = RateLabel(report.rate);
             info!(
                 "event=limit_learned endpoint={} rate={rate} age_ms={} from={from}",
                 report.endpoint,
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -22,6 +22,7 @@
     errors::{Code, Refusal},
     gateway::{
         attempt::EndpointResponse,
+        limits::RateLabel,
         outbound::{DEADLINE_SLACK, MAX_RESPONSE_BYTES, OutboundRequest},
         refusals, relay,
         shared::SharedState,
@@ -298,7 +299,7 @@
             load.prefill_tokens(now),
             load.report_age(now).map_or(-1, |age| age.as_millis() as i64),
             load.slowdown(),
-            limit.map_or_else(|| "-".to_owned(), |rate| rate.to_string()),
+            RateLabel(limit),
         );
     }
 
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -3,11 +3,7 @@
 //! A request may crash [`MAX_CRASHES`] endpoints. Each further one must be explained by
 //! copies of it that were already sent when the last of these crashes became known.
 
-use std::{
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-    sync::Arc,
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use futures_util::future::join_all;
 use goldcrestpitch::fakes::{FakeLog, LogFaults};
@@ -26,7 +22,6 @@
 pub const MAX_CRASHES: usize = 3;
 pub const POISON: &str = "poison";
 pub const ENDPOINTS: usize = 12;
-const OTHER_VM: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2));
 
 /// Starts endpoints that run `crash` for the crashing request and answer all others.
 pub async fn crashing_endpoints(
@@ -248,10 +243,7 @@
         send_repeatedly(&existing, "/read/1").await;
         let before = crashed(&endpoints);
         existing.log.set_faults(|f| f.outage = true);
-        let address = SocketAddr::new(OTHER_VM, existing.peer_address.port());
-        let seeds = vec![existing.peer_address.ip()];
-        let joining = TestGateway::start_with(existing.log.clone(), address, seeds).await;
-        joining.wait_for_version(1).await;
+        let joining = existing.start_peer(2).await;
         joining.wait_until(|g| 0 < g.process.shared().quarantined_suspects()).await;
         assert_eq!(joining.send("POST", "/read/1", "", POISON).await.status, 503);
         assert_eq!(crashed(&endpoints), before);
@@ -263,18 +255,7 @@
 fn crashes_that_different_gateways_saw_add_up() {
     run(async {
         let endpoints = crashing_endpoints(|_| vec![Step::Crash]).await;
-        let first = TestGateway::start(&endpoints.iter().collect::<Vec<_>>()).await;
-        let seeds = vec![first.peer_address.ip()];
-        let mut gateways = vec![first];
-        for i in 2..=4 {
-            let vm = IpAddr::V4(Ipv4Addr::new(127, 0, 0, i));
-            let address = SocketAddr::new(vm, gateways[0].peer_address.port());
-            let log = gateways[0].log.clone();
-            let gateway = TestGateway::start_with(log, address, seeds.clone()).await;
-            gateway.wait_for_version(1).await;
-            gateway.wait_for_endpoints(ENDPOINTS).await;
-            gateways.push(gateway);
-        }
+        let gateways = TestGateway::start_fleet(4, &endpoints).await;
         let mut last = Vec::new();
         for i in 0..8 {
             let gateway = &gateways[i % gateways.len()];
--- a/tests/gateway/crashing_segments.rs
+++ b/tests/gateway/crashing_segments.rs
@@ -4,10 +4,7 @@
 //! A segment may crash [`MAX_CRASHES`] endpoints. Each further send must have begun before
 //! the last of these crashes was known.
 
-use std::{
-    collections::HashSet,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
-};
+use std::collections::HashSet;
 
 use futures_util::future::join_all;
 use goldcrestpitch::fakes::{FakeLog, LogFaults};
@@ -31,7 +28,6 @@
 pub const CRASHING: &str = "bad";
 /// First segment of the sound requests and of most crashing ones.
 pub const FIRST: &str = "a1";
-const OTHER_VM: IpAddr = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2));
 
 /// The headers of a request whose prompt begins with the two segments and has a third one
 /// of its own.
@@ -222,23 +218,6 @@
     });
 }
 
-/// Starts gateways that know each other and the endpoints.
-async fn start_gateways(count: u8, endpoints: &[ScriptedEndpoint]) -> Vec<TestGateway> {
-    let first = TestGateway::start(&endpoints.iter().collect::<Vec<_>>()).await;
-    let seeds = vec![first.peer_address.ip()];
-    let mut gateways = vec![first];
-    for i in 2..=count {
-        let vm = IpAddr::V4(Ipv4Addr::new(127, 0, 0, i));
-        let address = SocketAddr::new(vm, gateways[0].peer_address.port());
-        let log = gateways[0].log.clone();
-        let gateway = TestGateway::start_with(log, address, seeds.clone()).await;
-        gateway.wait_for_version(1).await;
-        gateway.wait_for_endpoints(endpoints.len()).await;
-        gateways.push(gateway);
-    }
-    gateways
-}
-
 /// Waits until all gateways count the same number of crashes.
 async fn wait_until_in_agreement(gateways: &[TestGateway]) {
     let counted = |g: &TestGateway| g.process.shared().counted_crashes();
@@ -250,7 +229,7 @@
 fn crashes_by_a_segment_that_different_gateways_saw_add_up() {
     run(async {
         let endpoints = crashing_endpoints(|_| vec![Step::Crash]).await;
-        let gateways = start_gateways(4, &endpoints).await;
+        let gateways = TestGateway::start_fleet(4, &endpoints).await;
         for i in 0..SENT {
             let gateway = &gateways[i % gateways.len()];
             assert_sound_served(gateway, i).await;
@@ -303,10 +282,7 @@
             send_crashing(&existing, "/book/", i).await;
         }
         existing.log.set_faults(|f| f.outage = true);
-        let address = SocketAddr::new(OTHER_VM, existing.peer_address.port());
-        let seeds = vec![existing.peer_address.ip()];
-        let joining = TestGateway::start_with(existing.log.clone(), address, seeds).await;
-        joining.wait_for_version(1).await;
+        let joining = existing.start_peer(2).await;
         let gateways = [existing, joining];
         wait_until_in_agreement(&gateways).await;
         assert_eq!(send_crashing(&gateways[1], "/book/", SENT).await.status, 503);
--- a/tests/gateway/test_gateway.rs
+++ b/tests/gateway/test_gateway.rs
@@ -140,6 +140,17 @@
         peer
     }
 
+    /// Starts gateways that know each other and the endpoints.
+    pub async fn start_fleet(count: u8, endpoints: &[ScriptedEndpoint]) -> Vec<Self> {
+        let mut gateways = vec![Self::start(&endpoints.iter().collect::<Vec<_>>()).await];
+        for vm in 2..=count {
+            let gateway = gateways[0].start_peer(vm).await;
+            gateway.wait_for_endpoints(endpoints.len()).await;
+            gateways.push(gateway);
+        }
+        gateways
+    }
+
     /// Starts a gateway and waits until it knows the default routes and the endpoints.
     pub async fn start(endpoints: &[&ScriptedEndpoint]) -> Self {
         let gateway = Self::start_unconfigured().await;
