Gateways that were told of a limit count for good in the test fleet

The fleet forgot that a gateway was told when the limit ended, so that sends after it was named again did not count. No trace justified that.

--- a/tests/endpoint_limits/fleet.rs
+++ b/tests/endpoint_limits/fleet.rs
@@ -235,11 +235,9 @@
             let sent_at = start + Duration::from_millis(sent_at);
             let change = gateway.limits.record_response(at, &self.endpoint, 1, sent_at, named);
             news |= change.is_some();
-            // A limit that is named again after it had ended is a new one.
-            gateway.told_at = match named {
-                NamedLimit::Rate(_) => gateway.told_at.or(Some(now)),
-                _ => None,
-            };
+            if matches!(named, NamedLimit::Rate(_)) {
+                gateway.told_at.get_or_insert(now);
+            }
         }
         news
     }
