Log lines tell software versions and resumed streams

Registrations keep the version; the lines endpoint_registered and stream_resumed name it, and resumption names the attempt that the caller resumes and the last event it has. No decision has changed.

--- a/src/core/forwarding/endpoints.rs
+++ b/src/core/forwarding/endpoints.rs
@@ -61,6 +61,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: Arc<str>,
+    /// Version of its software; none if it states none, or an empty one.
+    pub version: Option<Arc<str>>,
     /// Whether it accepts new requests.
     pub state: EndpointState,
     /// Maximum number of concurrent requests.
@@ -122,7 +124,8 @@
 /// use goldcrestpitch::core::forwarding::*;
 /// let registration = |started_ms, order_seq, state| Registration {
 ///     id: "i-1".into(), service: "desk".into(), address: "127.0.0.1:1".parse().unwrap(),
-///     zone: "a".into(), state, slots: 6, started_ms, order_seq, residency: Residency::default(),
+///     zone: "a".into(), version: None, state, slots: 6, started_ms, order_seq,
+///     residency: Residency::default(),
 /// };
 /// let mut registry = EndpointRegistry::default();
 /// let now = Instant::now();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -175,8 +175,14 @@
             let old = registry.get(&new.id).map(|e| &e.registration);
             if old.is_none_or(|old| old.started_ms != new.started_ms) {
                 info!(
-                    "event=endpoint_registered endpoint={} service={} at={} zone={} born={}",
-                    new.id, new.service, new.address, new.zone, new.started_ms
+                    "event=endpoint_registered endpoint={} service={} at={} zone={} born={} \
+                     software={}",
+                    new.id,
+                    new.service,
+                    new.address,
+                    new.zone,
+                    new.started_ms,
+                    new.version.as_deref().unwrap_or("-")
                 );
             } else if old.is_some_and(|old| old.state != new.state) {
                 let leaving = new.state == EndpointState::Draining;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -96,9 +96,11 @@
             return abort(&request, &tx, "broken", &endpoint).await;
         }
         info!(
-            "event=stream_resumed id={} endpoint={} after={:?}",
+            "event=stream_resumed id={} endpoint={} software={} before={} after={:?}",
             request.id(),
             received.endpoint,
+            request.software(&received.endpoint),
+            request.software(&endpoint),
             events.last_id()
         );
     }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -118,6 +118,7 @@
 
     /// Makes attempts until there is a response or a refusal for the caller.
     pub(super) async fn run(mut self) -> Reply {
+        self.log_resumption();
         loop {
             let received = match self.next_response(None).await {
                 Ok(received) => received,
@@ -345,6 +346,23 @@
         platform::last_event_id(&self.outbound.headers)
     }
 
+    /// Logs that the caller resumes a stream.
+    fn log_resumption(&self) {
+        let first = platform::resumed_attempt(&self.outbound.headers);
+        let after = self.last_event();
+        if first.is_some() || after.is_some() {
+            let first = first.as_deref().map_or("-".into(), String::from_utf8_lossy);
+            info!("event=resumption id={} first={first} after={after:?}", self.id());
+        }
+    }
+
+    /// Software version of an endpoint, for the log.
+    pub(super) fn software(&self, endpoint: &EndpointId) -> String {
+        let state = self.shared.lock();
+        let version = state.registry.get(endpoint).and_then(|e| e.registration.version.clone());
+        version.as_deref().unwrap_or("-").to_owned()
+    }
+
     /// Counts a send. The request may have run until the opposite is known.
     pub(super) fn record_send(&mut self) {
         self.sends += 1;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -183,6 +183,11 @@
         self.lock().registry.get(endpoint).is_some()
     }
 
+    /// The address that an endpoint has registered.
+    pub fn address_of(&self, endpoint: &str) -> Option<SocketAddr> {
+        self.lock().registry.get(endpoint).map(|e| e.registration.address)
+    }
+
     /// Whether the last request to the store failed.
     pub fn is_store_unavailable(&self) -> bool {
         self.lock().store_unavailable
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -23,6 +23,7 @@
 const TOKEN_COUNTS: HeaderName = HeaderName::from_static("x-token-counts");
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-prompt-prefix");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+const RESUMED_ATTEMPT: HeaderName = HeaderName::from_static("resumes");
 const EXPECTED_ENDPOINT: HeaderName = HeaderName::from_static("x-expect-instance");
 const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
@@ -158,6 +159,20 @@
     Some(id.trim().to_owned())
 }
 
+/// Id of the caller's attempt that brought the first event of the stream that the caller
+/// resumes.
+///
+/// ```
+/// use goldcrestpitch::platform::resumed_attempt;
+/// let mut headers = hyper::HeaderMap::new();
+/// assert_eq!(resumed_attempt(&headers), None);
+/// headers.insert("resumes", "q1".parse().unwrap());
+/// assert_eq!(resumed_attempt(&headers), Some(b"q1".to_vec()));
+/// ```
+pub fn resumed_attempt(caller_headers: &HeaderMap) -> Option<Vec<u8>> {
+    Some(caller_headers.get(&RESUMED_ATTEMPT)?.as_bytes().to_vec()).filter(|id| !id.is_empty())
+}
+
 fn prompt_segment(text: &str) -> Option<PromptSegment> {
     let (id, tokens) = text.trim().split_once(':')?;
     let id = u64::from_str_radix(id, 16).ok()?;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,7 +14,7 @@
 pub use engine::EngineClient;
 pub use headers::{
     ForwardParams, RequestHead, ResponseHead, forwarded_headers, header_hash, last_event_id,
-    named_limit, parse_request_head, parse_response_head, response_headers,
+    named_limit, parse_request_head, parse_response_head, response_headers, resumed_attempt,
 };
 pub use headers::{NotRunReason, READY_PATH};
 pub use registration::decode_registration;
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -15,6 +15,8 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    #[serde(default)]
+    version: Option<String>,
     slots: u32,
     state: StateWire,
     // Number of orders that the endpoint has accepted since its start, not a sequence
@@ -98,7 +100,8 @@
 /// use goldcrestpitch::platform::decode_registration;
 /// let text = br#"{"Service":"desk","Address":"127.0.0.1:80","Zone":"a","Slots":6,
 ///   "State":"ready","ColdLeftMs":0,"Seq":4,"born":1700000000000}"#;
-/// assert_eq!(decode_registration("i-1", text).unwrap().order_seq, 4);
+/// let registration = decode_registration("i-1", text).unwrap();
+/// assert_eq!((registration.order_seq, registration.version), (4, None));
 /// assert!(decode_registration("i-2", br#"{"Service":7}"#).is_err());
 /// ```
 pub fn decode_registration(id: &str, text: &[u8]) -> Result<Registration, DecodeError> {
@@ -108,6 +111,7 @@
         service: wire.service.into(),
         address: wire.address,
         zone: wire.zone.into(),
+        version: wire.version.filter(|v| !v.is_empty()).map(Into::into),
         state: match wire.state {
             StateWire::Ready => EndpointState::Ready,
             StateWire::Draining => EndpointState::Draining,
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -63,6 +63,7 @@
         service: "llm".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: zone.into(),
+        version: Some("v1".into()),
         state: EndpointState::Ready,
         slots: 64,
         started_ms: 1,
