Streams go on only at the software version that began them

Cause: nothing read the version, so a broken stream, a silent one and a caller's next attempt took any endpoint with the model. The first event sent to the caller now fixes the version, by one function for the three ways; selection filters by it; the gateway tells a few others (chosen by hash) and asks them when a caller names an earlier attempt. What nobody knows goes on only where one version can have begun it, and is refused otherwise (codes 3008 and 3009). An endpoint that was unreachable gets no such streams until its start is confirmed.

--- a/src/core/forwarding/decision.rs
+++ b/src/core/forwarding/decision.rs
@@ -18,6 +18,8 @@
     NotResident,
     /// Every eligible endpoint limits its requests, and none takes one more in time.
     Limited,
+    /// No other endpoint of the software version that began the stream accepts requests.
+    NoVersion,
     /// The model is not configured.
     UnknownModel,
     /// The service is not configured.
--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -22,7 +22,7 @@
         },
         waits::MIN_RETRY_AFTER,
     },
-    ids::{EndpointId, ModelName},
+    ids::{EndpointId, ModelName, VersionId},
     limits::EndpointLimits,
 };
 
@@ -53,6 +53,7 @@
     pub(super) target: Duration,
     pub(super) deadline: Instant,
     pub(super) tried: Vec<EndpointId>,
+    pub(super) version: Option<VersionId>,
 }
 
 #[derive(Clone, Debug)]
@@ -142,7 +143,9 @@
         self.max_wait_until = Some(until);
     }
 
-    /// Queues a request for an endpoint other than those it has already `tried`.
+    /// Queues a request for an endpoint other than those it has already `tried`. A stream that
+    /// goes on needs one of its `version`.
+    #[expect(clippy::too_many_arguments, reason = "each is a property of the request")]
     pub fn enqueue(
         &mut self,
         now: Instant,
@@ -151,6 +154,7 @@
         requirements: Requirements,
         deadline: Instant,
         tried: Vec<EndpointId>,
+        version: Option<VersionId>,
     ) -> Ticket {
         self.next_ticket += 1;
         let ticket = self.next_ticket;
@@ -163,6 +167,7 @@
             target: route.target,
             deadline,
             tried,
+            version,
         };
         self.queue.insert((route.priority, ticket), request);
         ticket
@@ -315,8 +320,11 @@
         if let Some(reason) = unknown_model(&service, &request.requirements) {
             return Some(Decision::Refuse(reason, MIN_RETRY_AFTER));
         }
-        let Selection { best, usable, resident, all_limited, limited } =
+        let Selection { best, exists, usable, resident, all_limited, limited } =
             self.select_endpoint(now, registry, &service, request);
+        if request.version.is_some() && !exists {
+            return Some(Decision::Refuse(RefusalReason::NoVersion, Duration::ZERO));
+        }
         let until_allowed = match best {
             None => self.wait_for_limit(now, limited, queued),
             Some(_) => None,
--- a/src/core/forwarding/endpoints.rs
+++ b/src/core/forwarding/endpoints.rs
@@ -9,7 +9,8 @@
 
 use crate::core::{
     forwarding::ServiceName,
-    ids::{EndpointId, ModelName},
+    hash,
+    ids::{EndpointId, ModelName, VersionId},
 };
 
 /// A model that an engine has loaded.
@@ -93,6 +94,8 @@
     grace_until: Option<Instant>,
     // Reported by the agent of the endpoint; cleared when the agent falls silent.
     agent_residency: Option<Residency>,
+    // When it was last unreachable, until a later registration.
+    doubted_at: Option<Instant>,
 }
 
 impl Endpoint {
@@ -106,6 +109,24 @@
         &self.registration.id
     }
 
+    /// The software version. One that states none is a version of its own, until it is started
+    /// again.
+    pub fn version(&self) -> VersionId {
+        let Registration { id, service, version, started_ms, .. } = &self.registration;
+        match version {
+            Some(version) => hash::stable(&[service.as_bytes(), version.as_bytes()]),
+            None => {
+                hash::stable(&[service.as_bytes(), b"", id.as_bytes(), &started_ms.to_le_bytes()])
+            }
+        }
+    }
+
+    /// Whether it may have been started again, perhaps with another version, since it last
+    /// registered.
+    pub fn may_have_restarted(&self) -> bool {
+        self.doubted_at.is_some()
+    }
+
     /// The loaded and cached models, by the agent's report if there is one, else by the
     /// registration.
     pub fn residency(&self) -> &Residency {
@@ -117,6 +138,10 @@
 /// register again. The platform guarantees two seconds.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2000);
 
+/// How much later than an endpoint was unreachable a registration is read that must have been
+/// written after that.
+const REGISTRATION_DELAY: Duration = Duration::from_millis(1500);
+
 /// The registered endpoints by id.
 ///
 /// ```
@@ -150,7 +175,7 @@
     /// Returns whether anything relevant to requests has changed.
     pub fn apply(&mut self, now: Instant, change: Change, after_outage: bool) -> bool {
         match change {
-            Change::Registered(registration) => self.register(registration),
+            Change::Registered(registration) => self.register(now, registration),
             Change::Removed(id) => self.remove(now, &id, after_outage),
         }
     }
@@ -163,7 +188,7 @@
             self.remove(now, &id, after_outage);
         }
         for registration in all {
-            self.register(registration);
+            self.register(now, registration);
         }
     }
 
@@ -212,6 +237,39 @@
         }
     }
 
+    /// Notes that a start of an endpoint may have ended.
+    pub fn doubt_start(&mut self, now: Instant, id: &str, started_ms: u64) {
+        let found = self.all.get_mut(id).filter(|e| e.registration.started_ms == started_ms);
+        if let Some(endpoint) = found {
+            endpoint.doubted_at = Some(now);
+        }
+    }
+
+    /// Whether an endpoint may have been started again since it last registered.
+    pub fn may_have_restarted(&self, id: &str) -> bool {
+        self.get(id).is_some_and(Endpoint::may_have_restarted)
+    }
+
+    /// Whether a run that was sent to this start of an endpoint is certain to be there.
+    pub fn is_certain_start(&self, id: &str, started_ms: u64) -> bool {
+        self.get(id).is_none_or(|endpoint| {
+            endpoint.registration.started_ms == started_ms && !endpoint.may_have_restarted()
+        })
+    }
+
+    /// Whether no later start of an endpoint than this one is known.
+    pub fn is_known_start(&self, id: &str, started_ms: u64) -> bool {
+        self.get(id).is_none_or(|endpoint| endpoint.registration.started_ms == started_ms)
+    }
+
+    /// Notes that a start of an endpoint has not ended.
+    pub fn confirm_start(&mut self, id: &str, started_ms: u64) {
+        let found = self.all.get_mut(id).filter(|e| e.registration.started_ms == started_ms);
+        if let Some(endpoint) = found {
+            endpoint.doubted_at = None;
+        }
+    }
+
     /// All endpoints.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.all.values()
@@ -227,9 +285,14 @@
         self.all.is_empty()
     }
 
-    fn register(&mut self, registration: Registration) -> bool {
+    fn register(&mut self, now: Instant, mut registration: Registration) -> bool {
         let Some(known) = self.all.get_mut(&registration.id) else {
-            let endpoint = Endpoint { registration, grace_until: None, agent_residency: None };
+            let endpoint = Endpoint {
+                registration,
+                grace_until: None,
+                agent_residency: None,
+                doubted_at: None,
+            };
             self.all.insert(endpoint.registration.id.clone(), endpoint);
             return true;
         };
@@ -245,10 +308,16 @@
             // An endpoint never goes back from draining to ready, so the record is stale.
             return false;
         }
+        if same_process && old.version != registration.version {
+            // The software of a process does not change, so neither record is to be trusted.
+            registration.version = None;
+        }
         let changed = *old != registration;
         if !same_process {
             known.agent_residency = None;
         }
+        known.doubted_at =
+            known.doubted_at.filter(|at| same_process && now < *at + REGISTRATION_DELAY);
         known.registration = registration;
         known.grace_until = None;
         changed
--- a/src/core/forwarding/selection.rs
+++ b/src/core/forwarding/selection.rs
@@ -90,7 +90,10 @@
 pub(super) struct Selection {
     /// The endpoint with the lowest score, and the adapter that it has yet to load.
     pub(super) best: Option<(EndpointId, Option<WantedAdapter>)>,
-    /// Whether any untried endpoint of the service accepts requests.
+    /// Whether any endpoint of the service, and of the version that a stream needs, accepts
+    /// requests, also one that the request has tried.
+    pub(super) exists: bool,
+    /// Whether any untried one of those does.
     pub(super) usable: bool,
     /// Whether any of those has the model loaded.
     pub(super) resident: bool,
@@ -112,9 +115,11 @@
         let mut best: Option<(f64, EndpointId, Option<WantedAdapter>)> = None;
         let in_service = |e: &&Endpoint| e.registration.service == request.service;
         let untried = |e: &&Endpoint| !request.tried.contains(e.id());
+        let fits = |e: &&Endpoint| request.version.is_none_or(|version| e.version() == version);
         let available = |e: &&Endpoint| e.is_usable() && !self.was_replaced(now, e.id());
         let mut eligible: Vec<&Endpoint> =
-            registry.iter().filter(in_service).filter(available).collect();
+            registry.iter().filter(in_service).filter(fits).filter(available).collect();
+        let exists = !eligible.is_empty();
         let usable = eligible.iter().any(untried);
         eligible.retain(|e| service.engine.is_none() || has_model(e, &request.requirements));
         eligible.sort_by(|a, b| {
@@ -127,6 +132,9 @@
         let mut limited = Vec::new();
         let count = eligible.len();
         for (position, endpoint) in eligible.into_iter().enumerate().filter(|(_, e)| untried(e)) {
+            if request.version.is_some() && endpoint.may_have_restarted() {
+                continue;
+            }
             let share = self.subset.share(position, count);
             let score = self.score(now, service, endpoint, &request.requirements, share);
             let Some(score) = score else { continue };
@@ -153,7 +161,7 @@
             }
         }
         let best = best.map(|(_, endpoint, missing_adapter)| (endpoint, missing_adapter));
-        Selection { best, usable, resident, all_limited, limited }
+        Selection { best, exists, usable, resident, all_limited, limited }
     }
 
     /// Expected milliseconds to a response plus penalties; `None` if the endpoint is full.
@@ -167,6 +175,7 @@
     ) -> Option<f64> {
         let load = self.load(endpoint.id());
         let avoided = self.avoided_until.get(endpoint.id()).is_some_and(|until| now < *until)
+            || endpoint.may_have_restarted()
             || load.is_unresponsive(now);
         let connection_limit = (service.max_connections / self.processes).max(1);
         if connection_limit <= load.running() as usize {
--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -28,3 +28,8 @@
 pub type SegmentId = u64;
 /// Identifies the crash of one start of an endpoint.
 pub type CrashId = u64;
+/// Identifies a software version of one service. Streams of endpoints with the same one fit
+/// together.
+pub type VersionId = u64;
+/// Hash of the id of the caller's attempt that brought the first event of a stream.
+pub type StreamId = u64;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,5 +15,6 @@
 pub mod placement;
 pub mod quarantine;
 pub mod residency;
+pub mod resumption;
 pub mod routing;
 pub mod scheduling;
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -91,6 +91,8 @@
     NotReady = 3005, 503, NotRun, "The process has not received a configuration yet.";
     StaleTicket = 3006, 503, NotRun, "The attempt names another incarnation of the agent, or the ticket of its probe has expired.";
     Fenced = 3007, 503, NotRun, "The attempt was fenced before it started.";
+    VersionGone = 3008, 503, NotRun, "No endpoint of the software version that began the stream accepts requests.";
+    VersionUnknown = 3009, 503, NotRun, "It is not known which software version began the stream, so it cannot go on.";
     EndpointFailed = 4001, 502, Unknown, "The endpoint failed while the request ran.";
     DeadlineExceeded = 4002, 504, Unknown, "The deadline passed while the request ran.";
     OutcomeUnknown = 4003, 409, Unknown, "An earlier request with this key may have run; it is not run again.";
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -242,6 +242,7 @@
                 &self.requirements,
                 self.deadline,
                 &tried,
+                self.version.required(),
             );
             let Ok((guard, choice)) = time::timeout_at(self.deadline.into(), choosing).await else {
                 return Err(self.deadline_exceeded());
--- a/src/gateway/crash_check.rs
+++ b/src/gateway/crash_check.rs
@@ -110,6 +110,10 @@
         let mut all_counted = Vec::new();
         for (endpoint, started_ms) in replaced {
             let crash = crash_id(&endpoint, started_ms);
+            let streams = self.origins.record_ended_start(now, crash);
+            if 0 < streams {
+                info!("event=streams_unsure endpoint={endpoint} streams={streams}");
+            }
             let counted = self.gate.resolve(now, crash, &[], true);
             if !counted.is_empty() {
                 self.log_crash(now, &endpoint, crash, &counted);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -116,6 +116,8 @@
         let after_outage = state.is_after_outage(now);
         let counted: Vec<_> = all.iter().flat_map(|new| state.record_restart(now, new)).collect();
         state.registry.replace(now, all, after_outage);
+        state.versions.record_gap();
+        state.record_versions(now);
         state.cache.registrations = values;
         state.dispatcher.retain_registered(&state.registry);
         drop(guard);
@@ -155,6 +157,7 @@
         for id in state.registry.expire(now) {
             info!("event=endpoint_lapsed endpoint={id}");
         }
+        state.record_versions(now);
         state.dispatcher.retain_registered(&state.registry);
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,8 +17,10 @@
 mod relay;
 mod request;
 mod response_body;
+mod restart_check;
 mod run;
 mod shared;
+mod streams;
 mod suspects;
 mod upstream;
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,6 +25,7 @@
         limits,
         planner::{self, AgentInfo, Planner},
         shared::{self, SharedState},
+        streams,
     },
     gossip::{
         Body, ChangeKind, Demand, EngineLoad, EngineStatus, GatewayStatus, Hello, ResidencyChange,
@@ -53,6 +54,10 @@
     agents: HashMap<EndpointId, AgentInfo>,
     last_hello: HashMap<EndpointId, Instant>,
     crash_reporter: CrashReporter,
+    // Gateways that have just started or were silent, and were not told of streams yet.
+    newcomers: Vec<SocketAddr>,
+    // Whether this gateway stops and has handed over what it knows of streams.
+    handed_over: bool,
     started: Instant,
     // Number of other gateways in the settings.
     other_seeds: usize,
@@ -96,10 +101,11 @@
             () = shared.peer_update_due.notified() =>
                 peers.send_to_gateways(&shared, &socket, true),
             () = shared.limits_changed.notified() => peers.send_limits(&shared, &socket),
+            () = shared.streams_changed.notified() => peers.send_streams(&shared, &socket),
             () = shared.adapter_wanted.notified() => send_adapter_requests(&shared, &socket, own),
             received = socket.receive() => {
                 if let Ok((from, body)) = received {
-                    peers.receive(&shared, own, from, body);
+                    peers.receive(&shared, &socket, own, from, body);
                 }
             }
         }
@@ -113,6 +119,8 @@
             agents: HashMap::new(),
             last_hello: HashMap::new(),
             crash_reporter: CrashReporter::default(),
+            newcomers: Vec::new(),
+            handed_over: false,
             started: Instant::now(),
             other_seeds: seeds.iter().filter(|seed| **seed != own.ip()).count(),
             last_broadcast: None,
@@ -134,7 +142,14 @@
         }
     }
 
-    fn receive(&mut self, shared: &SharedState, own: SocketAddr, from: SocketAddr, body: Body) {
+    fn receive(
+        &mut self,
+        shared: &SharedState,
+        socket: &Socket,
+        own: SocketAddr,
+        from: SocketAddr,
+        body: Body,
+    ) {
         let now = Instant::now();
         match body {
             Body::GatewayStatus(status) => {
@@ -144,6 +159,7 @@
                         // The peer may have just started and not know any gateway yet, or
                         // have missed reports.
                         self.crash_reporter.record_missed(from);
+                        self.newcomers.push(from);
                         shared.peer_update_due.notify_one();
                     }
                     peer.last_heard = Some(now);
@@ -160,6 +176,7 @@
             Body::EngineLoad(load) => self.receive_engine_load(shared, now, &load),
             Body::CrashReports(reports) => crash_reports::receive(shared, from, reports),
             Body::LimitReports(reports) => limits::receive(shared, from, reports),
+            Body::Streams(message) => streams::receive(shared, socket, from, message),
             Body::Hello(_) => {}
         }
     }
@@ -256,6 +273,7 @@
             shared.report_unsaved.notify_one();
         }
         state.demand.expire(now);
+        state.origins.expire(now);
         gauge!(names::GATEWAYS).set((1 + live) as f64);
     }
 
@@ -318,6 +336,48 @@
                 socket.send(*address, Body::CrashReports(reports.clone()));
             }
         }
+        self.repeat_streams(shared, socket, broadcast);
+    }
+
+    /// Tells other gateways of the streams that have begun here, and asks about those that
+    /// callers resume. One that stops hands over all that it knows.
+    fn send_streams(&mut self, shared: &SharedState, socket: &Socket) {
+        let now = Instant::now();
+        let stops = shared.is_shutting_down() && !std::mem::replace(&mut self.handed_over, true);
+        let reports = {
+            let origins = &mut shared.lock().origins;
+            let untold = origins.take_untold(now);
+            if stops { origins.all_reports(now) } else { untold }
+        };
+        streams::send(shared, socket, &self.reachable_gateways(now), reports);
+    }
+
+    /// Repeats what datagrams may have lost, and hands over streams to newcomers.
+    fn repeat_streams(&mut self, shared: &SharedState, socket: &Socket, broadcast: bool) {
+        let now = Instant::now();
+        let gateways = self.reachable_gateways(now);
+        let newcomers = std::mem::take(&mut self.newcomers);
+        if !newcomers.is_empty() {
+            let all = shared.lock().origins.all_reports(now);
+            for newcomer in newcomers {
+                streams::hand_over(socket, &gateways, newcomer, &all);
+            }
+        }
+        if broadcast {
+            let mut state = shared.lock();
+            let mut due = state.origins.take_untold(now);
+            due.extend(state.origins.recent_reports(now));
+            drop(state);
+            streams::send(shared, socket, &gateways, due);
+        }
+    }
+
+    /// The other gateways that are live, or for some time after the start all known ones.
+    fn reachable_gateways(&self, now: Instant) -> Vec<SocketAddr> {
+        if now < self.started + PEER_TIMEOUT {
+            return self.gateways.keys().copied().collect();
+        }
+        self.live_gateways(now).map(|(address, _)| *address).collect()
     }
 
     /// Sends what changed of limits to all other gateways.
--- a/src/gateway/refusals.rs
+++ b/src/gateway/refusals.rs
@@ -26,6 +26,10 @@
             Code::QueueFull,
             "every endpoint that could serve the request limits its rate of requests",
         ),
+        RefusalReason::NoVersion => {
+            let text = "no endpoint of the software version that began the stream accepts requests";
+            return Refusal::new(Code::VersionGone, text);
+        }
         RefusalReason::UnknownModel => (Code::NotResident, "the configuration has no such model"),
         RefusalReason::UnknownService => {
             (Code::NoEndpoint, "the route's service is not configured")
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -108,7 +108,8 @@
 
 /// Resumes an interrupted stream at another endpoint.
 async fn resume(request: &mut ProxiedRequest, events: &EventSplitter) -> Option<EndpointResponse> {
-    if !request.can_run_again() || request.deadline <= Instant::now() {
+    let may_go_on = request.can_run_again() && request.may_go_on_elsewhere();
+    if !may_go_on || request.deadline <= Instant::now() {
         return None;
     }
     let next = request.next_response(events.last_id()).await;
@@ -207,6 +208,10 @@
             match events.push(&data) {
                 Ok(None) => {}
                 Ok(Some(complete)) => {
+                    if !request.admit_events(self.run.target()).await {
+                        let text = "the endpoint may be of another software version";
+                        return StreamEnd::Interrupted(text.to_owned());
+                    }
                     let now = Instant::now();
                     request.record_event(now - std::mem::replace(&mut self.last_event_at, now));
                     if tx.send(Ok(complete)).await.is_err() {
@@ -227,7 +232,7 @@
         has_data: bool,
     ) -> Next {
         let mut frame = pin!(self.body.frame());
-        let may_resume = has_data && request.can_run_again();
+        let may_resume = has_data && request.can_run_again() && request.may_go_on_elsewhere();
         let left = (request.deadline + DEADLINE_SLACK).saturating_duration_since(Instant::now());
         let wait = if may_resume { self.wait.min(left) } else { left };
         tokio::select! {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -16,8 +16,9 @@
     core::{
         forwarding::{Requirements, Route, RouteKind, ServiceName},
         hash,
-        ids::EndpointId,
+        ids::{EndpointId, StreamId},
         quarantine::{RequestKey, RunEnd},
+        resumption::StreamVersion,
     },
     errors::{Code, Refusal},
     gateway::{
@@ -26,6 +27,7 @@
         outbound::{DEADLINE_SLACK, MAX_RESPONSE_BYTES, OutboundRequest},
         refusals, relay,
         shared::SharedState,
+        streams::{AdmittedRun, stream_id},
         suspects::{Label, OwnCrashes},
     },
     http::{ClientAddress, Reply, ReplyBody},
@@ -47,6 +49,10 @@
     received_at: Instant,
     pub(super) deadline: Instant,
     pub(super) key: RequestKey,
+    // The stream that the response begins or goes on with.
+    pub(super) stream: StreamId,
+    pub(super) version: StreamVersion,
+    pub(super) admitted: Option<AdmittedRun>,
     // Endpoints of earlier attempts.
     pub(super) tried: Vec<EndpointId>,
     // Sends after which the request ran or may have run.
@@ -88,6 +94,8 @@
         let uri = path.parse().map_err(|_| Refusal::new(Code::UnknownPath, "unusable path"))?;
         shared.record_request(&service, &caller.requirements);
         let deadline = received_at + timeout;
+        let resumed = platform::resumed_attempt(&head.headers);
+        let stream = stream_id(resumed.as_deref().unwrap_or(&caller.id));
         let outbound = OutboundRequest {
             shared: shared.clone(),
             id: caller.id,
@@ -106,6 +114,9 @@
             received_at,
             deadline,
             key,
+            stream,
+            version: StreamVersion::Open,
+            admitted: None,
             tried: Vec::new(),
             runs: 0,
             sends: 0,
@@ -118,7 +129,9 @@
 
     /// Makes attempts until there is a response or a refusal for the caller.
     pub(super) async fn run(mut self) -> Reply {
-        self.log_resumption();
+        if let Err(refusal) = self.find_version().await {
+            return self.refuse(&refusal);
+        }
         loop {
             let received = match self.next_response(None).await {
                 Ok(received) => received,
@@ -346,16 +359,6 @@
         platform::last_event_id(&self.outbound.headers)
     }
 
-    /// Logs that the caller resumes a stream.
-    fn log_resumption(&self) {
-        let first = platform::resumed_attempt(&self.outbound.headers);
-        let after = self.last_event();
-        if first.is_some() || after.is_some() {
-            let first = first.as_deref().map_or("-".into(), String::from_utf8_lossy);
-            info!("event=resumption id={} first={first} after={after:?}", self.id());
-        }
-    }
-
     /// Software version of an endpoint, for the log.
     pub(super) fn software(&self, endpoint: &EndpointId) -> String {
         let state = self.shared.lock();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -11,11 +11,11 @@
 use crate::{
     core::{
         hash,
-        ids::{CrashId, EndpointId},
+        ids::{CrashId, EndpointId, VersionId},
         quarantine::{RunEnd, RunId, RunPermit, Suspect},
     },
     errors::{Code, Refusal},
-    gateway::{crash_check, request::ProxiedRequest, shared::SharedState},
+    gateway::{crash_check, request::ProxiedRequest, restart_check, shared::SharedState},
 };
 
 /// Longest wait for another run of the same request or for a crash check, which takes up
@@ -33,6 +33,7 @@
     pub(super) endpoint: EndpointId,
     pub(super) address: SocketAddr,
     pub(super) started_ms: u64,
+    pub(super) version: VersionId,
     pub(super) crash: CrashId,
 }
 
@@ -53,6 +54,11 @@
 }
 
 impl RunGuard {
+    /// Where it runs.
+    pub(super) fn target(&self) -> &RunTarget {
+        &self.target
+    }
+
     /// Records data of the response.
     pub(super) fn record_response(&mut self) {
         let now = Instant::now();
@@ -77,7 +83,12 @@
             return;
         }
         self.record_end(RunEnd::Failed);
-        let unresolved = self.shared.lock().gate.unresolved(Instant::now(), self.target.crash);
+        let now = Instant::now();
+        let mut state = self.shared.lock();
+        state.registry.doubt_start(now, &self.target.endpoint, self.target.started_ms);
+        let unresolved = state.gate.unresolved(now, self.target.crash);
+        drop(state);
+        restart_check::start(&self.shared, &self.target);
         if !unresolved.is_empty() {
             crash_check::start(&self.shared, &self.target);
         }
@@ -89,6 +100,9 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
+        if end == RunEnd::Interrupted {
+            restart_check::start(&self.shared, &self.target);
+        }
         let now = Instant::now();
         let mut state = self.shared.lock();
         let ended = state.gate.end(now, self.run, end);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -13,12 +13,13 @@
 use crate::{
     core::{
         forwarding::{
-            Decision, Dispatcher, EndpointRegistry, Locality, REREGISTRATION_GRACE, RefusalReason,
-            Requirements, RetryBudget, Route, RouteTable, ServiceName, Ticket,
+            Decision, Dispatcher, Endpoint, EndpointRegistry, Locality, REREGISTRATION_GRACE,
+            RefusalReason, Requirements, RetryBudget, Route, RouteTable, ServiceName, Ticket,
         },
-        ids::{CrashId, EndpointId},
+        ids::{CrashId, EndpointId, VersionId},
         placement::DemandMeter,
         quarantine::{RunGate, Suspect},
+        resumption::{Lookups, ServiceVersions, StreamOrigins},
     },
     gateway::{
         bootstrap::StoreCache,
@@ -56,6 +57,9 @@
     pub(super) dispatcher: Dispatcher,
     pub(super) gate: RunGate,
     pub(super) demand: DemandMeter,
+    pub(super) origins: StreamOrigins,
+    pub(super) lookups: Lookups,
+    pub(super) versions: ServiceVersions,
     // Served to gateways that start while the store is unavailable.
     pub(super) cache: StoreCache,
     // Each service has its own retry budget.
@@ -73,6 +77,8 @@
     pub(super) knows_quarantines: bool,
     // Endpoint starts that are being checked for a crash.
     pub(super) crash_checks: HashSet<CrashId>,
+    // Endpoint starts that are being checked for another start.
+    pub(super) restart_checks: HashSet<CrashId>,
 }
 
 /// The decision on a waiting request.
@@ -101,6 +107,10 @@
     pub(super) peer_update_due: Notify,
     // Triggers a message to all peers about requests to endpoints that limit them.
     pub(super) limits_changed: Notify,
+    // Triggers messages to peers about streams that have begun here or that callers resume.
+    pub(super) streams_changed: Notify,
+    // Wakes requests that wait for what peers know of a stream.
+    pub(super) origin_heard: Notify,
     // Triggers messages to agents when requests wait for an adapter to be loaded.
     pub(super) adapter_wanted: Notify,
     // Wakes requests that wait for the end of another run or for a crash check.
@@ -119,6 +129,9 @@
             dispatcher: Dispatcher::new(locality, seed),
             gate: RunGate::new(MAX_CRASHES, MAX_SEGMENT_CRASHES),
             demand: DemandMeter::new(),
+            origins: StreamOrigins::default(),
+            lookups: Lookups::default(),
+            versions: ServiceVersions::default(),
             cache: StoreCache::default(),
             retry_budgets: HashMap::new(),
             pending: HashMap::new(),
@@ -129,6 +142,7 @@
             unsaved_reports: HashSet::new(),
             knows_quarantines: false,
             crash_checks: HashSet::new(),
+            restart_checks: HashSet::new(),
         };
         Arc::new(Self {
             bounds,
@@ -137,6 +151,8 @@
             request_queued: Notify::new(),
             peer_update_due: Notify::new(),
             limits_changed: Notify::new(),
+            streams_changed: Notify::new(),
+            origin_heard: Notify::new(),
             adapter_wanted: Notify::new(),
             runs_changed: Notify::new(),
             report_unsaved: Notify::new(),
@@ -183,6 +199,11 @@
         self.lock().registry.get(endpoint).is_some()
     }
 
+    /// Whether an endpoint may have been started again since it last registered.
+    pub fn may_have_restarted(&self, endpoint: &str) -> bool {
+        self.lock().registry.may_have_restarted(endpoint)
+    }
+
     /// The address that an endpoint has registered.
     pub fn address_of(&self, endpoint: &str) -> Option<SocketAddr> {
         self.lock().registry.get(endpoint).map(|e| e.registration.address)
@@ -234,6 +255,9 @@
         let mut state = self.lock();
         state.shutting_down = true;
         state.dispatcher.set_wait_limit(Instant::now() + max_wait);
+        drop(state);
+        // What this gateway knows of streams is handed over.
+        self.streams_changed.notify_one();
     }
 
     /// Ends the grace period: requests without a response get an error response.
@@ -279,6 +303,7 @@
         requirements: &Requirements,
         deadline: Instant,
         tried: &[EndpointId],
+        version: Option<VersionId>,
     ) -> (RequestGuard, EndpointChoice) {
         let (tx, rx) = oneshot::channel();
         let ticket = {
@@ -293,6 +318,7 @@
                 requirements.clone(),
                 deadline,
                 tried,
+                version,
             );
             state.pending.insert(ticket, tx);
             ticket
@@ -372,9 +398,11 @@
 impl State {
     /// The current start of an endpoint.
     pub(super) fn run_target(&self, endpoint: &EndpointId, address: SocketAddr) -> RunTarget {
-        let started_ms = self.registry.get(endpoint).map_or(0, |e| e.registration.started_ms);
+        let found = self.registry.get(endpoint);
+        let started_ms = found.map_or(0, |e| e.registration.started_ms);
+        let version = found.map_or(0, Endpoint::version);
         let crash = crash_id(endpoint, started_ms);
-        RunTarget { endpoint: endpoint.clone(), address, started_ms, crash }
+        RunTarget { endpoint: endpoint.clone(), address, started_ms, version, crash }
     }
 
     /// Whether the store is unavailable or was until recently, so that a live endpoint
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -6,6 +6,7 @@
 mod limit_reports;
 mod messages;
 mod socket;
+mod streams;
 
 pub use limit_reports::{InvalidRate, LimitReport, LimitReports};
 pub use messages::{
@@ -13,3 +14,4 @@
     EngineLoad, EngineStatus, GatewayStatus, Hello, LoadedModel, ResidencyChange, SuspectKind,
 };
 pub use socket::{MAX_DATAGRAM_BYTES, Socket, rotating_subset};
+pub use streams::{OriginKind, StreamOrigin, Streams};
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -24,6 +24,8 @@
 /// Time limit for the answer to an order. The engine answers before it carries the
 /// order out.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time limit for asking the engine of another VM for its start.
+const START_TIMEOUT: Duration = Duration::from_millis(500);
 const REPORT_PATH: &str = "/-/report";
 const ORDER_PATH: &str = "/-/order";
 
@@ -55,6 +57,12 @@
     runs: Vec<(String, u64, u64, i64)>,
 }
 
+#[derive(Deserialize)]
+struct StartWire {
+    #[serde(default)]
+    born: Option<u64>,
+}
+
 #[derive(Serialize)]
 #[serde(rename_all = "PascalCase")]
 struct OrderWire<'a> {
@@ -98,6 +106,20 @@
     }
 }
 
+/// Asks the engine at an address for its start, Unix time in milliseconds; none if it answers
+/// without one.
+///
+/// # Errors
+/// [`DecodeError`] if it does not answer.
+pub async fn engine_start(address: SocketAddr) -> Result<Option<u64>, DecodeError> {
+    let client = Client::new(address);
+    match client.get_json::<StartWire>(REPORT_PATH, START_TIMEOUT).await {
+        Ok(report) => Ok(report.born),
+        Err(ClientError::Status(..) | ClientError::Malformed(_)) => Ok(None),
+        Err(err) => Err(DecodeError(err.to_string())),
+    }
+}
+
 /// Client of one engine.
 #[derive(Clone, Debug)]
 pub struct EngineClient {
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -16,6 +16,8 @@
 pub const ATTAINED: &str = "goldcrestpitch_attained_total";
 /// Requests sent to endpoints that name a limit, by endpoint.
 pub const LIMITED_SENDS: &str = "goldcrestpitch_limited_sends_total";
+/// Streams that callers resume, by outcome.
+pub const RESUMPTIONS: &str = "goldcrestpitch_resumptions_total";
 /// Refused requests, by result code.
 pub const REFUSALS: &str = "goldcrestpitch_refusals_total";
 /// Retries (attempts after the first), by reason; in a gateway, by whether the retry budget
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -118,7 +118,15 @@
     fn enqueue(&mut self, priority: u8, requirements: Requirements) -> Ticket {
         let deadline = self.now + Duration::from_secs(15);
         let route = Route { target: self.target, ..route(priority) };
-        self.dispatcher.enqueue(self.now, &route, "llm".into(), requirements, deadline, Vec::new())
+        self.dispatcher.enqueue(
+            self.now,
+            &route,
+            "llm".into(),
+            requirements,
+            deadline,
+            Vec::new(),
+            None,
+        )
     }
 
     fn poll(&mut self) -> HashMap<Ticket, Decision> {
--- a/tests/gateway/scripted_endpoint.rs
+++ b/tests/gateway/scripted_endpoint.rs
@@ -99,7 +99,15 @@
     pub async fn start(
         script: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
     ) -> Self {
-        let socket = port_socket("127.0.0.1:0".parse().unwrap());
+        Self::start_at("127.0.0.1:0".parse().unwrap(), script).await
+    }
+
+    /// Starts an endpoint at the address of one that has crashed.
+    pub async fn start_at(
+        address: SocketAddr,
+        script: impl Fn(&ReceivedRequest) -> Vec<Step> + Send + Sync + 'static,
+    ) -> Self {
+        let socket = port_socket(address);
         let address = socket.local_addr().unwrap();
         let reserved_port = port_socket(address);
         let listener = socket.listen(LISTEN_BACKLOG).unwrap();
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -1,15 +1,13 @@
 //! Endpoints of several software versions in one service: a stream goes on only at the
 //! version that began it.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use tokio::{io::AsyncReadExt, io::AsyncWriteExt, sync::Notify};
+use tokio::io::AsyncWriteExt;
 
 use crate::{
     run,
-    scripted_endpoint::{
-        ReceivedRequest, ScriptedEndpoint, Step, chunk, events, last_chunk, stream_head,
-    },
+    scripted_endpoint::{ReceivedRequest, ScriptedEndpoint, Step, chunk, last_chunk, stream_head},
     test_gateway::{Response, TestGateway, http_request, read_response, route},
 };
 
@@ -101,7 +99,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn broken_stream_goes_on_at_its_version() {
     run(async {
         let endpoints = start_six(breaking).await;
@@ -116,7 +113,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn stream_of_a_silent_endpoint_goes_on_at_its_version() {
     run(async {
         let endpoints = start_six(silent).await;
@@ -182,7 +178,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn caller_resumes_at_another_gateway() {
     run(async {
         let endpoints = start_six(breaking_twice).await;
@@ -198,7 +193,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn caller_resumes_after_the_first_gateway_has_stopped() {
     run(async {
         let endpoints = start_six(breaking_twice).await;
@@ -214,7 +208,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn stream_whose_version_is_gone_is_refused_at_once() {
     run(async {
         let endpoints = start_six(breaking_twice).await;
@@ -239,7 +232,6 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn resumption_of_an_unknown_stream_is_not_sent_to_a_guess() {
     run(async {
         let endpoints = start_six(breaking_twice).await;
@@ -255,7 +247,6 @@
 
 /// The endpoint crashes, starts again under its id with another version, and registers.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn stream_does_not_go_on_at_a_restarted_endpoint_of_another_version() {
     run(async {
         let crashing = ScriptedEndpoint::start(|request| {
@@ -279,38 +270,28 @@
 
 /// As above, but its registration has yet to come: the address and the id are the old ones.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn stream_does_not_go_on_at_an_endpoint_whose_restart_is_not_known() {
     run(async {
-        let crash = Arc::new(Notify::new());
-        let restarts = crash.clone();
-        let endpoint = ScriptedEndpoint::start(move |request| {
-            match request.header("last-event-id") {
-                None => vec![
-                    stream_head(request.id()),
-                    chunk(&events(0..3)),
-                    Step::WaitFor(restarts.clone()),
-                    Step::Reset,
-                ],
-                // It is another process now.
-                Some(_) => [stream_of("v2", request, 6), vec![last_chunk()]].concat(),
-            }
+        let crashing = ScriptedEndpoint::start(|request| {
+            let pause = Step::Pause(Duration::from_millis(20));
+            [stream_of("v1", request, 3), vec![pause, Step::Crash]].concat()
         })
         .await;
         let gateway = TestGateway::start_unconfigured().await;
-        register(&gateway, std::slice::from_ref(&endpoint)).await;
-        let mut socket = gateway.connect().await;
-        let head = format!("x-request-id: q1\r\n{DEADLINE}");
-        socket.write_all(http_request("POST", "/resume/1", &head, "").as_bytes()).await.unwrap();
-        let mut buf = Vec::new();
-        while !String::from_utf8_lossy(&buf).contains("data: t2\n\n") {
-            assert_ne!(socket.read_buf(&mut buf).await.unwrap(), 0);
-        }
-        crash.notify_one();
-        assert!(!read_response(&mut socket, &mut buf).await.complete);
+        register(&gateway, std::slice::from_ref(&crashing)).await;
+        let first = attempt(&gateway, "q1", "").await;
+        assert_eq!((versions(&first), first.complete), (vec!["v1".to_owned()], false));
+        gateway.wait_until(|g| g.process.shared().may_have_restarted("i-0")).await;
+        let restarted = ScriptedEndpoint::start_at(crashing.address, |request| {
+            [stream_of("v2", request, 6), vec![last_chunk()]].concat()
+        })
+        .await;
         let rest = resume(&gateway, "r1", "q1").await;
         assert_eq!(rest.status, 503);
-        assert_eq!(endpoint.requests().len(), 1);
+        assert!(restarted.requests().is_empty());
+        gateway.register_version("i-0", restarted.address, "v1", 2).await;
+        gateway.wait_until(|g| !g.process.shared().may_have_restarted("i-0")).await;
+        assert!(resume(&gateway, "r2", "q1").await.complete);
     });
 }
 
