Gateways in tests take a port number that is free for both protocols

second_attempts::stream_is_not_cut_when_the_second_endpoint_fails_after_its_head failed once of four runs at the bind of its UDP port (test_gateway.rs:114): the number that the kernel had drawn for TCP was in use for UDP by another test. Both are now drawn until one number is free for both; a given number must still be free. No check has changed.

--- a/tests/gateway/test_gateway.rs
+++ b/tests/gateway/test_gateway.rs
@@ -109,9 +109,8 @@
         let ready = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (client_address, ready_address) =
             (clients.local_addr().unwrap(), ready.local_addr().unwrap());
-        let bootstrap = TcpListener::bind(peer).await.unwrap();
+        let (bootstrap, peers) = bind_both(peer).await;
         let peer_address = bootstrap.local_addr().unwrap();
-        let peers = Socket::bind(peer_address).await.unwrap();
         let config = GatewayConfig {
             zone: "east".into(),
             regions: vec![("east".into(), "r".into())],
@@ -249,6 +248,17 @@
     }
 }
 
+/// Binds the TCP and the UDP port of this number; any number that is free for both if it is 0.
+async fn bind_both(address: SocketAddr) -> (TcpListener, Socket) {
+    loop {
+        let listener = TcpListener::bind(address).await.unwrap();
+        match Socket::bind(listener.local_addr().unwrap()).await {
+            Ok(socket) => return (listener, socket),
+            Err(err) => assert_eq!(address.port(), 0, "{address}: {err}"),
+        }
+    }
+}
+
 /// A request with the id `q1` and a deadline of 3000 ms unless `extra_headers` sets others.
 pub fn http_request(method: &str, path: &str, extra_headers: &str, body: &str) -> String {
     let id = if extra_headers.contains("x-request-id") { "" } else { "x-request-id: q1\r\n" };
