--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod request;
 mod response_body;
 mod restart_check;
+mod rests;
 mod run;
 mod shared;
 mod streams;
--- a/src/gateway/outbound.rs
+++ b/src/gateway/outbound.rs
@@ -14,7 +14,7 @@
 use crate::{
     core::{ids::EndpointId, limits::NamedLimit},
     gateway::{
-        limits,
+        limits, rests,
         shared::SharedState,
         upstream::{Connection, SendError},
     },
@@ -72,6 +72,7 @@
                 "the response belongs to another request".to_owned(),
             ));
         }
+        rests::record_response(&self.shared, &self.id, &endpoint, &head);
         // A failure without a limit does not end one.
         let says_limit = response.status().is_success() || head.limit != NamedLimit::None;
         if says_limit && head.not_run != Some(NotRunReason::Elsewhere) {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -29,6 +29,7 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 const SIGNATURE: HeaderName = HeaderName::from_static("x-response-signature");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const RATE_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
 /// Largest value of the priority header; 0 is the most urgent.
@@ -37,6 +38,9 @@
 /// Longest announced time that is believed, seconds.
 const MAX_KEEP_ALIVE_S: u64 = 86_400;
 
+/// Longest rest that an endpoint gets, seconds.
+const MAX_REST_S: f64 = 3600.0;
+
 /// Headers that only this system sets. Those that a caller sends are dropped.
 const INTERNAL: &[&str] = &[
     "x-hold",
@@ -262,6 +266,21 @@
     pub ends_with_connection: bool,
     /// The rate of requests that the endpoint takes.
     pub limit: NamedLimit,
+    /// The time for which the endpoint wants no requests of this process.
+    pub rest: RequestedRest,
+    /// Whether the endpoint says that it leaves.
+    pub is_leaving: bool,
+}
+
+/// What a response says of the time for which its endpoint wants no requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RequestedRest {
+    /// It asks for none.
+    None,
+    /// This long.
+    For(Duration),
+    /// A value that is no number of seconds. It asks for nothing.
+    Invalid,
 }
 
 impl ResponseHead {
@@ -305,6 +324,38 @@
         closes_connection: connection_options(headers).iter().any(|o| o == "close"),
         ends_with_connection: has_body(status) && !is_framed(headers),
         limit: named_limit(headers),
+        rest: requested_rest(status, headers),
+        is_leaving: headers.get(&LEAVING).is_some_and(|v| v.as_bytes().trim_ascii() == b"1"),
+    }
+}
+
+/// The rest that a refusal asks for, in seconds. Of several values the longest holds; 0 is none,
+/// and no rest is longer than an hour.
+///
+/// ```
+/// use std::time::Duration;
+/// use goldcrestpitch::platform::{RequestedRest, requested_rest};
+/// use hyper::{HeaderMap, StatusCode};
+/// let mut headers = HeaderMap::new();
+/// let busy = StatusCode::SERVICE_UNAVAILABLE;
+/// headers.insert("retry-after", "2.5".parse().unwrap());
+/// let rest = RequestedRest::For(Duration::from_millis(2500));
+/// assert_eq!(requested_rest(busy, &headers), rest);
+/// assert_eq!(requested_rest(StatusCode::OK, &headers), RequestedRest::None);
+/// headers.insert("retry-after", "soon".parse().unwrap());
+/// assert_eq!(requested_rest(busy, &headers), RequestedRest::Invalid);
+/// ```
+pub fn requested_rest(status: StatusCode, headers: &HeaderMap) -> RequestedRest {
+    let refuses = matches!(status.as_u16(), 429 | 503);
+    if !refuses || !headers.contains_key(header::RETRY_AFTER) {
+        return RequestedRest::None;
+    }
+    let values = headers.get_all(header::RETRY_AFTER).into_iter().filter_map(|v| v.to_str().ok());
+    let seconds = values.filter_map(|t| t.trim().parse::<f64>().ok());
+    match seconds.filter(|s| s.is_finite() && 0.0 <= *s).max_by(f64::total_cmp) {
+        None => RequestedRest::Invalid,
+        Some(0.0) => RequestedRest::None,
+        Some(seconds) => RequestedRest::For(Duration::from_secs_f64(seconds.min(MAX_REST_S))),
     }
 }
 
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -13,8 +13,9 @@
 pub use configuration::{CONFIG_KEY, decode_configuration};
 pub use engine::{EngineClient, engine_start};
 pub use headers::{
-    ForwardParams, RequestHead, ResponseHead, forwarded_headers, header_hash, last_event_id,
-    named_limit, parse_request_head, parse_response_head, response_headers, resumed_attempt,
+    ForwardParams, RequestHead, RequestedRest, ResponseHead, forwarded_headers, header_hash,
+    last_event_id, named_limit, parse_request_head, parse_response_head, requested_rest,
+    response_headers, resumed_attempt,
 };
 pub use headers::{NotRunReason, READY_PATH};
 pub use registration::decode_registration;
