Failing tests: endpoints that ask for rest or leave get more requests

Callers were turned away by endpoints that had asked for rest while others were free, and endpoints that had said that they leave got new requests.

--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -189,6 +189,11 @@
         self.lock().dispatcher.limits().len()
     }
 
+    /// Number of endpoints that get no requests because they asked for rest.
+    pub fn resting_endpoints(&self) -> usize {
+        0
+    }
+
     /// Number of requests that wait for an endpoint.
     pub fn waiting_requests(&self) -> usize {
         self.lock().dispatcher.waiting()
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod lost_answers;
 mod refused_bodies;
 mod requests;
+mod resting_endpoints;
 mod retries;
 mod scripted_endpoint;
 mod second_attempts;
