Requests wait a moment longer for endpoints that have just rested

Requests that waited for the end of a rest were refused although the endpoint was neither resting nor full: their wait ended while the requests after a rest are spread. They now stay queued for that second, within their deadline.

--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -325,7 +325,7 @@
         if let Some(reason) = unknown_model(&service, &request.requirements) {
             return Some(Decision::Refuse(reason, MIN_RETRY_AFTER));
         }
-        let Selection { best, exists, usable, resident, all_limited, limited, resting } =
+        let Selection { best, exists, usable, resident, all_limited, limited, resting, spreads } =
             self.select_endpoint(now, registry, &service, request);
         if request.version.is_some() && !exists {
             return Some(Decision::Refuse(RefusalReason::NoVersion, Duration::ZERO));
@@ -347,6 +347,10 @@
             (true, true) => RefusalReason::Full,
         };
         let until = self.wait_deadline(request, reason);
+        let must_end = self.max_wait_until.is_some_and(|last| last <= now);
+        if spreads && !must_end && now < request.deadline {
+            return None;
+        }
         if let Some(resting) = resting
             && until <= now + self.rest(now, &resting)
         {
--- a/src/core/forwarding/selection.rs
+++ b/src/core/forwarding/selection.rs
@@ -103,6 +103,8 @@
     pub(super) limited: Vec<EndpointId>,
     /// All that have the model loaded, if each of them rests.
     pub(super) resting: Option<Vec<EndpointId>>,
+    /// Whether one that has rested takes another request in a moment.
+    pub(super) spreads: bool,
 }
 
 impl Dispatcher {
@@ -135,6 +137,7 @@
             eligible.iter().copied().filter(untried).map(|e| e.id().clone()).collect();
         let all_rest = with_model.iter().all(|id| self.rests.is_resting(now, id));
         let resting = Some(with_model).filter(|all| all_rest && !all.is_empty());
+        let mut spreads = false;
         let mut limited = Vec::new();
         let count = eligible.len();
         for (position, endpoint) in eligible.into_iter().enumerate().filter(|(_, e)| untried(e)) {
@@ -142,6 +145,7 @@
                 continue;
             }
             if !self.rests.wait(now, endpoint.id()).is_zero() {
+                spreads |= !self.rests.is_resting(now, endpoint.id());
                 continue;
             }
             let share = self.subset.share(position, count);
@@ -170,7 +174,7 @@
             }
         }
         let best = best.map(|(_, endpoint, missing_adapter)| (endpoint, missing_adapter));
-        Selection { best, exists, usable, resident, all_limited, limited, resting }
+        Selection { best, exists, usable, resident, all_limited, limited, resting, spreads }
     }
 
     /// Expected milliseconds to a response plus penalties; `None` if the endpoint is full.
