Events of a run that is given up are not counted as sent

The state of the stream is now put back. Evidence: the new test over sockets got the events 0 to 2 of 0 to 5 before and gets all now.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -205,10 +205,15 @@
             if data.has_remaining() {
                 self.run.record_response();
             }
+            // Until events of this run are admitted, it may turn out that they must not be sent.
+            let unsent = (!request.is_admitted(self.run.target())).then(|| events.clone());
             match events.push(&data) {
                 Ok(None) => {}
                 Ok(Some(complete)) => {
                     if !request.admit_events(self.run.target()).await {
+                        if let Some(unsent) = unsent {
+                            *events = unsent;
+                        }
                         let text = "the endpoint may be of another software version";
                         return StreamEnd::Interrupted(text.to_owned());
                     }
--- a/src/gateway/streams.rs
+++ b/src/gateway/streams.rs
@@ -56,10 +56,15 @@
 }
 
 impl ProxiedRequest {
+    /// Whether events of a run have been sent to the caller and fixed the version.
+    pub(super) fn is_admitted(&self, target: &RunTarget) -> bool {
+        self.admitted.is_some_and(|admitted| admitted.start == target.crash)
+    }
+
     /// Decides whether events of a run may be sent to the caller. The first ones fix the
     /// version.
     pub(super) async fn admit_events(&mut self, target: &RunTarget) -> bool {
-        let is_first = self.admitted.is_none_or(|admitted| admitted.start != target.crash);
+        let is_first = !self.is_admitted(target);
         let goes_on = is_first && self.version.required().is_some();
         if goes_on && !restart_check::is_same_start(&self.shared, target).await {
             warn!("event=start_unconfirmed id={} endpoint={}", self.id(), target.endpoint);
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -1,18 +1,32 @@
 //! Endpoints of several software versions in one service: a stream goes on only at the
 //! version that began it.
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
+use goldcrestpitch::platform::{CONFIGURATION, REGISTRATIONS};
+use serde_json::json;
 use tokio::io::AsyncWriteExt;
 
 use crate::{
     run,
-    scripted_endpoint::{ReceivedRequest, ScriptedEndpoint, Step, chunk, last_chunk, stream_head},
-    test_gateway::{Response, TestGateway, http_request, read_response, route},
+    scripted_endpoint::{
+        ReceivedRequest, ScriptedEndpoint, Step, chunk, http_response, last_chunk, stream_head,
+    },
+    test_gateway::{
+        Response, TestGateway, configuration, http_request, read_response, registration, route,
+    },
 };
 
 /// Streams in each test, as many as the retry budget lets go on.
 const STREAMS: usize = 4;
+/// Time for events to arrive before the connection ends.
+const PAUSE: Duration = Duration::from_millis(20);
 const DEADLINE: &str = "x-deadline-ms: 8000\r\n";
 
 /// A whole stream, or the rest of it, whose data name the version that wrote it.
@@ -321,3 +335,55 @@
         }
     });
 }
+
+/// The second run sends events before it is known whether its endpoint was started again, and
+/// the report that would tell does not come.
+#[test]
+fn events_of_a_run_that_is_given_up_are_not_skipped() {
+    run(async {
+        let reports = Arc::new(AtomicUsize::new(0));
+        let mut endpoints = Vec::new();
+        for _ in 0..3 {
+            let reports = reports.clone();
+            let endpoint = ScriptedEndpoint::start(move |request| {
+                if request.path == "/-/report" {
+                    return match reports.fetch_add(1, Ordering::Relaxed) {
+                        0 => vec![Step::Hang],
+                        _ => http_response("200 OK", "", "{\"born\":1}"),
+                    };
+                }
+                match request.header("last-event-id") {
+                    None => [stream_of("v1", request, 3), vec![Step::Pause(PAUSE), Step::Reset]]
+                        .concat(),
+                    Some(_) => [stream_of("v1", request, 6), vec![last_chunk()]].concat(),
+                }
+            });
+            endpoints.push(endpoint.await);
+        }
+        let gateway = TestGateway::start_unconfigured().await;
+        let mut long = route("/resume/", "streaming", 3);
+        long["TimeoutMs"] = 20_000.into();
+        let mut text = configuration(1, &[long], &["desk"]);
+        text["Services"][0]["Engine"] = json!({
+            "Slots": 100, "KvCapacity": 10_000_000, "WeightsMb": 1000, "AdapterSlots": 1,
+            "LoadsPerS": 1, "Models": [{ "Name": "m", "WeightsMb": 10, "LoadS": 1 }],
+        });
+        gateway.store.put(CONFIGURATION, "config", text.to_string().as_bytes()).await.unwrap();
+        for (i, endpoint) in endpoints.iter().enumerate() {
+            let mut text = registration(endpoint.address, "ready", 1);
+            text["Models"] = json!([{ "Name": "m", "Version": 1, "Adapters": [] }]);
+            let text = text.to_string();
+            gateway.store.put(REGISTRATIONS, &format!("i-{i}"), text.as_bytes()).await.unwrap();
+        }
+        gateway.wait_for_version(1).await;
+        gateway.wait_for_endpoints(3).await;
+        let response = attempt(&gateway, "q1", "x-model: m\r\n").await;
+        let ids: Vec<String> = response
+            .text()
+            .lines()
+            .filter_map(|l| l.strip_prefix("id: "))
+            .map(str::to_owned)
+            .collect();
+        assert_eq!((ids.join(" ").as_str(), response.complete), ("0 1 2 3 4 5", true));
+    });
+}
