--- a/tests/gateway/explained.rs
+++ b/tests/gateway/explained.rs
@@ -4,13 +4,16 @@
     collections::{BTreeMap, BTreeSet},
     path::Path,
     sync::{Mutex, Once},
+    time::Duration,
 };
 
+use tokio::time;
+
 use crate::{
     run,
     scripted_endpoint::{
-        ReceivedRequest, ScriptedEndpoint, Step, chunk, events, http_response, response_head,
-        stream_head,
+        ReceivedRequest, ScriptedEndpoint, Step, chunk, events, http_response, last_chunk,
+        response_head, stream_head,
     },
     test_gateway::TestGateway,
 };
@@ -148,6 +151,42 @@
     first.wait_until(|g| g.process.shared().limited_endpoints() == 0).await;
 }
 
+/// A caller resumes a stream while the service has endpoints of two versions.
+async fn resume_a_stream() {
+    let endpoint = || {
+        ScriptedEndpoint::start(|request| {
+            vec![stream_head(request.id()), chunk(&events(0..2)), last_chunk()]
+        })
+    };
+    let endpoints = [endpoint().await, endpoint().await];
+    let gateway = TestGateway::start(&[&endpoints[0]]).await;
+    gateway.register_version("i-1", endpoints[1].address, "v2", 1).await;
+    gateway.wait_for_endpoints(2).await;
+    gateway.send("POST", "/resume/1", "x-request-id: begun-1\r\n", "").await;
+    let headers = "x-request-id: resumed-1\r\nresumes: begun-1\r\nlast-event-id: 1\r\n";
+    gateway.send("POST", "/resume/1", headers, "").await;
+}
+
+/// An endpoint asks for a short rest and then says that it leaves.
+async fn rest_and_leave() {
+    let endpoint = ScriptedEndpoint::start(|request| {
+        let headers = match request.index {
+            0 => "x-not-executed: 1\r\nretry-after: 0.3\r\ncontent-length: 0\r\n",
+            _ => "server-leaving: 1\r\ncontent-length: 0\r\n",
+        };
+        let status = if request.index == 0 { "503 Busy" } else { "200 OK" };
+        vec![Step::Send(response_head(status, request.id(), headers).into_bytes())]
+    })
+    .await;
+    let gateway = TestGateway::start(&[&endpoint]).await;
+    gateway.send("POST", "/book/1", "x-request-id: rest-1\r\n", "").await;
+    gateway.send("POST", "/book/1", "x-request-id: rest-2\r\n", "").await;
+    gateway.wait_for_endpoints(0).await;
+    while !LINES.lock().unwrap().iter().any(|l| l.contains("event=rest_ended")) {
+        time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 #[test]
 fn operations_page_matches_logged_fields() {
     install_capture_logger();
@@ -159,6 +198,8 @@
         crash_endpoints_by_a_segment().await;
         clear_a_suspect().await;
         name_and_end_a_limit().await;
+        resume_a_stream().await;
+        rest_and_leave().await;
     });
     assert_eq!(events_for_request("refused-1"), ["refused", "request_end"]);
     assert_eq!(events_for_request("failed-1"), ["sent", "broken", "refused", "request_end"]);
