Requests whose model cannot be loaded in time are refused at once

Cause: callers of a stream leave when nothing arrives for 2 s, four times the target or eight times the longest pause, and a request for a model that no engine had loaded was held for 0.45 of its 15 s. Change: the configuration tells how long callers of a route wait; what engines load is recorded with its start, and a request whose model is loaded too late for its caller gets a refusal at once that names the time of the load.

--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -15,7 +15,7 @@
 use crate::core::{
     forwarding::{
         EndpointLoad, EndpointRegistry, EndpointRests, EndpointSubset, LoadReport, MissingModels,
-        ModelRef, Requirements, Route, RouteKind, ServiceName, WantedAdapter,
+        ModelLoads, ModelRef, Requirements, Route, RouteKind, ServiceName, WantedAdapter,
         selection::{
             BASE_FIRST_TOKEN_TIME, BASE_RESPONSE_TIME, Locality, PREFILL_TOKENS_PER_MS, segment_key,
         },
@@ -88,6 +88,7 @@
     pub(super) silent_until: HashMap<EndpointId, Instant>,
     replaced_until: HashMap<EndpointId, Instant>,
     pub(super) missing_models: MissingModels,
+    pub(super) model_loads: ModelLoads,
     pub(super) cached_segments: HashMap<EndpointId, Vec<u64>>,
     // When each adapter was first requested; entries expire after `WANTED_ADAPTER_LIFETIME`.
     pub(super) wanted_adapters: HashMap<WantedAdapter, Instant>,
@@ -122,6 +123,7 @@
             silent_until: HashMap::new(),
             replaced_until: HashMap::new(),
             missing_models: MissingModels::default(),
+            model_loads: ModelLoads::default(),
             cached_segments: HashMap::new(),
             wanted_adapters: HashMap::new(),
             adapter_wanted: false,
@@ -247,6 +249,16 @@
         }
     }
 
+    /// Records the model that an endpoint loads, if it does.
+    pub fn record_loading(
+        &mut self,
+        now: Instant,
+        endpoint: &EndpointId,
+        loading: Option<ModelName>,
+    ) {
+        self.model_loads.record(now, endpoint, loading);
+    }
+
     /// Whether another endpoint recently answered at this one's address.
     pub(super) fn was_replaced(&self, now: Instant, endpoint: &str) -> bool {
         self.replaced_until.get(endpoint).is_some_and(|until| now < *until)
@@ -271,6 +283,7 @@
         self.silent_until.retain(|id, _| registry.get(id).is_some());
         self.replaced_until.retain(|id, _| registry.get(id).is_some());
         self.missing_models.retain(|id| registry.get(id).is_some());
+        self.model_loads.retain(|id| registry.get(id).is_some());
         let started_ms = |id: &EndpointId| registry.get(id).map(|e| e.registration.started_ms);
         self.limits.retain(started_ms);
         self.rests.retain(started_ms);
--- a/src/core/forwarding/mod.rs
+++ b/src/core/forwarding/mod.rs
@@ -7,6 +7,7 @@
 mod event_splitter;
 mod load;
 mod missing_models;
+mod model_loads;
 mod poll;
 mod requirements;
 mod rests;
@@ -28,6 +29,7 @@
 pub use event_splitter::{EventSplitter, StreamError};
 pub use load::{EndpointLoad, LoadReport};
 pub use missing_models::MissingModels;
+pub use model_loads::ModelLoads;
 pub use requirements::{PromptSegment, Requirements};
 pub use rests::{EndedRest, EndpointRests};
 pub use retry_budget::RetryBudget;
--- a/src/core/forwarding/poll.rs
+++ b/src/core/forwarding/poll.rs
@@ -298,10 +298,16 @@
         if let Some(wait) = until_allowed.filter(|wait| all_limited && until <= now + *wait) {
             return Outcome::Decided(self.refuse_limited(wait));
         }
+        if reason == RefusalReason::NotResident
+            && let Some(time) = self.time_until_loaded(now, registry, service, request)
+            && until < now + time
+        {
+            return Outcome::Decided(self.refuse_not_resident(time));
+        }
         if now < until {
             return Outcome::Waits(blocked, until);
         }
-        refuse(reason, self.retry_after(service, &request.requirements, reason))
+        refuse(reason, self.retry_after())
     }
 
     fn want_adapter(&mut self, now: Instant, wanted: WantedAdapter) {
--- a/src/core/forwarding/routes.rs
+++ b/src/core/forwarding/routes.rs
@@ -55,6 +55,11 @@
     pub timeout: Duration,
     /// Latency target for the response, or for the first event of a stream.
     pub target: Duration,
+    /// Longest pause between two events of a stream that is still on time.
+    pub pause_target: Duration,
+    /// Callers of a stream leave when nothing arrives for this long, also before the first
+    /// event. None if callers wait as long as the timeout allows.
+    pub patience: Option<Duration>,
     /// Priority; 0 is the highest.
     pub priority: u8,
     /// Services among which requests are split.
@@ -146,7 +151,8 @@
 /// let route = |prefix: &str| Route {
 ///     name: prefix.into(), host: "a.example".into(), prefix: prefix.into(),
 ///     kind: RouteKind::Idempotent, timeout: Duration::from_secs(1),
-///     target: Duration::from_millis(200), priority: 0, max_attempts: 2,
+///     target: Duration::from_millis(200), pause_target: Duration::ZERO,
+///     patience: None, priority: 0, max_attempts: 2,
 ///     services: vec![WeightedService { service: "desk".into(), weight: 1 }],
 /// };
 /// let table = RouteTable::new(7, vec![route("/a/"), route("/a/b/")], vec![], None);
--- a/src/core/forwarding/waits.rs
+++ b/src/core/forwarding/waits.rs
@@ -8,7 +8,7 @@
 
 use crate::core::{
     forwarding::{
-        Decision, EndpointRests, RefusalReason, Requirements, Service,
+        Decision, Endpoint, EndpointRegistry, EndpointRests, RefusalReason, Service,
         dispatcher::{Dispatcher, QueuedRequest},
     },
     ids::EndpointId,
@@ -21,8 +21,12 @@
 /// How long a request waits for other endpoints than avoided ones, as a share of the latency
 /// target.
 const AVOIDED_SHARE_OF_TARGET: f64 = 0.25;
-/// Longest wait for a model to load, as a share of the time until the deadline.
-const WAIT_SHARE_OF_DEADLINE: f64 = 0.45;
+/// Time until which a model must be loaded, as a share of the time until the deadline: the rest is
+/// needed to serve the request.
+const LOADED_SHARE_OF_DEADLINE: f64 = 0.75;
+/// Callers that are told to come back once a model is loaded return within this time after that,
+/// so that their prompts do not arrive together.
+const RETURN_SPREAD: Duration = Duration::from_millis(600);
 /// Minimum retry delay reported to a refused caller.
 pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(1200);
 /// Longest retry delay reported where endpoints limit their requests or rest.
@@ -33,7 +37,7 @@
     pub(super) fn wait_deadline(&self, request: &QueuedRequest, reason: RefusalReason) -> Instant {
         let until_deadline = request.deadline.saturating_duration_since(request.since);
         let max_wait = match reason {
-            RefusalReason::NotResident => until_deadline.mul_f64(WAIT_SHARE_OF_DEADLINE),
+            RefusalReason::NotResident => until_deadline.mul_f64(LOADED_SHARE_OF_DEADLINE),
             _ => request.target.mul_f64(WAIT_SHARE_OF_TARGET).min(until_deadline / 2),
         };
         let until = request.since + max_wait;
@@ -46,21 +50,31 @@
         from.min(self.wait_deadline(request, RefusalReason::Full))
     }
 
-    pub(super) fn retry_after(
-        &mut self,
+    /// Delay after which a refused caller may return.
+    pub(super) fn retry_after(&mut self) -> Duration {
+        MIN_RETRY_AFTER.mul_f64(1.0 + self.rng.f64())
+    }
+
+    /// Time until a model that no endpoint has loaded can serve the request.
+    pub(super) fn time_until_loaded(
+        &self,
+        now: Instant,
+        registry: &EndpointRegistry,
         service: &Service,
-        requirements: &Requirements,
-        reason: RefusalReason,
-    ) -> Duration {
-        let base = match reason {
-            RefusalReason::NotResident => {
-                let model = requirements.model.as_ref();
-                let spec = service.engine.as_ref().zip(model);
-                spec.and_then(|(e, m)| e.models.get(m)).map_or(MIN_RETRY_AFTER, |m| m.load_time)
-            }
-            _ => MIN_RETRY_AFTER,
-        };
-        base.mul_f64(1.0 + self.rng.f64())
+        request: &QueuedRequest,
+    ) -> Option<Duration> {
+        let model = request.requirements.model.as_ref()?;
+        let spec = service.engine.as_ref()?.models.get(model)?;
+        let in_service =
+            registry.iter().filter(|e| e.registration.service == request.service && e.is_usable());
+        let endpoints: Vec<&Endpoint> = in_service.collect();
+        Some(self.model_loads.time_until_loaded(now, model, spec, &endpoints))
+    }
+
+    /// The refusal of a request whose model is loaded this much later, too late for it.
+    pub(super) fn refuse_not_resident(&mut self, until_loaded: Duration) -> Decision {
+        let delay = until_loaded.max(MIN_RETRY_AFTER) + RETURN_SPREAD.mul_f64(self.rng.f64());
+        Decision::Refuse(RefusalReason::NotResident, delay)
     }
 
     /// The request rates that endpoints name.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -240,7 +240,7 @@
                 &self.route,
                 &self.service,
                 &self.requirements,
-                self.limit.deadline(),
+                self.answer_needed_by(),
                 &tried,
                 self.version.required(),
             );
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -215,6 +215,8 @@
         };
         self.agents.insert(id.clone(), agent);
         state.registry.set_agent_residency(&id, Some(status.residency()));
+        let loading = Some(status.loading.as_str()).filter(|model| !model.is_empty());
+        state.dispatcher.record_loading(now, &id, loading.map(Into::into));
         state.dispatcher.record_report(now, &id, LoadReport::from(&EngineLoad::from(status)));
         if status.draining {
             state.registry.mark_draining(&id);
@@ -259,6 +261,7 @@
         for id in silent {
             info!("event=agent_silent endpoint={id}");
             self.agents.remove(&id);
+            state.dispatcher.record_loading(now, &id, None);
             state.registry.set_agent_residency(&id, None);
         }
         let live = self.live_gateways(now).count();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -35,6 +35,10 @@
     telemetry::names,
 };
 
+/// How much earlier than a caller leaves it must get its answer: the time on the network to and
+/// from it.
+const LEAVE_MARGIN: Duration = Duration::from_millis(100);
+
 /// The answer to a request.
 enum Answer {
     /// It has been read completely.
@@ -67,6 +71,7 @@
     pub(super) retry_reserved: bool,
     // Time from receipt of the request to the first event.
     first_event: Option<Duration>,
+    last_event_at: Option<Instant>,
     // Longest time between two events.
     longest_gap: Duration,
 }
@@ -120,6 +125,7 @@
             sends: 0,
             retry_reserved: false,
             first_event: None,
+            last_event_at: None,
             longest_gap: Duration::ZERO,
             route,
         })
@@ -356,6 +362,14 @@
         histogram!(names::REQUEST, "class" => class).record(elapsed);
     }
 
+    /// Until when the next event or the answer is of use to the caller: those of a stream leave
+    /// when nothing arrives for some time.
+    pub(super) fn answer_needed_by(&self) -> Instant {
+        let heard_at = self.last_event_at.unwrap_or(self.limit.received_at());
+        let leaves_at = self.route.patience.map(|p| heard_at + p.saturating_sub(LEAVE_MARGIN));
+        leaves_at.map_or(self.limit.deadline(), |at| at.min(self.limit.deadline()))
+    }
+
     /// The request id that the caller set.
     pub(super) fn id(&self) -> Cow<'_, str> {
         String::from_utf8_lossy(&self.outbound.id)
@@ -399,6 +413,7 @@
 
     /// Records the time to the first event, or the gap between two later ones.
     pub(super) fn record_event(&mut self, gap: Duration) {
+        self.last_event_at = Some(Instant::now());
         let class = || self.route.name.to_string();
         if self.first_event.is_none() {
             let elapsed = self.limit.received_at().elapsed();
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -31,6 +31,14 @@
     Duration::from_secs_f64(s.clamp(0.0, MAX_SECONDS))
 }
 
+/// The longest pause between events, where a route declares none.
+const DEFAULT_PAUSE_TARGET: Duration = Duration::from_millis(300);
+/// The platform's callers wait for an event of a stream at least this long, this many times the
+/// latency target, and this many times the longest pause that is on time.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE_IN_TARGETS: u32 = 4;
+const PATIENCE_IN_PAUSES: u32 = 8;
+
 /// Longest duration that is accepted; larger values are reduced to it.
 const MAX_SECONDS: f64 = 86_400.0;
 
@@ -63,6 +71,9 @@
     max_attempts: u32,
     #[serde(default)]
     resumable: bool,
+    // Longest pause between events for which a stream is on time.
+    #[serde(default)]
+    gap_aim_ms: Option<f64>,
 }
 
 fn default_max_attempts() -> u32 {
@@ -137,13 +148,19 @@
         if services.is_empty() {
             services.extend(single);
         }
+        let target = millis(wire.target_latency_ms);
+        let pause_target = wire.gap_aim_ms.map_or(DEFAULT_PAUSE_TARGET, millis);
+        let patience =
+            MIN_PATIENCE.max(target * PATIENCE_IN_TARGETS).max(pause_target * PATIENCE_IN_PAUSES);
         Ok(Self {
             name: wire.name.into(),
             host: wire.host.to_ascii_lowercase().into(),
             prefix: wire.path_prefix.into(),
             kind,
             timeout: millis(wire.timeout_ms),
-            target: millis(wire.target_latency_ms),
+            target,
+            pause_target,
+            patience: matches!(kind, RouteKind::Streaming { .. }).then_some(patience),
             priority: wire.priority,
             services,
             max_attempts: wire.max_attempts.max(1),
--- a/tests/dispatch_cost.rs
+++ b/tests/dispatch_cost.rs
@@ -63,6 +63,8 @@
         timeout: Duration::from_secs(3600),
         // Requests wait as long as they like.
         target: Duration::from_secs(3000),
+        pause_target: Duration::from_millis(300),
+        patience: None,
         priority: 1,
         services: vec![WeightedService { service: "llm".into(), weight: 1 }],
         max_attempts: 2,
--- a/tests/endpoint_rests/fleet.rs
+++ b/tests/endpoint_rests/fleet.rs
@@ -85,6 +85,8 @@
         kind: RouteKind::Idempotent,
         timeout: Duration::from_secs(3),
         target: TARGET,
+        pause_target: Duration::from_millis(300),
+        patience: None,
         priority: 1,
         services: vec![WeightedService { service: "desk".into(), weight: 1 }],
         max_attempts: 2,
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -27,6 +27,8 @@
         kind: RouteKind::Streaming { resumable: true },
         timeout: Duration::from_secs(15),
         target: TARGET,
+        pause_target: Duration::from_millis(300),
+        patience: None,
         priority,
         services: vec![WeightedService { service: "llm".into(), weight: 1 }],
         max_attempts: 2,
@@ -130,6 +132,21 @@
         )
     }
 
+    /// Queues a request of a caller that leaves after this time.
+    fn enqueue_until(&mut self, millis: u64, requirements: Requirements) -> Ticket {
+        let deadline = self.now + Duration::from_millis(millis);
+        let service = "llm".into();
+        self.dispatcher.enqueue(
+            self.now,
+            &route(1),
+            service,
+            requirements,
+            deadline,
+            Vec::new(),
+            None,
+        )
+    }
+
     fn poll(&mut self) -> HashMap<Ticket, Decision> {
         self.dispatcher.poll(self.now, &self.table, &self.registry).into_iter().collect()
     }
@@ -554,3 +571,57 @@
         }
     }
 }
+
+/// A rare model is asked for: nobody has it, and its load takes longer than callers wait. They were
+/// held until they left.
+#[test]
+fn a_request_is_refused_at_once_if_its_model_cannot_be_loaded_before_the_caller_leaves() {
+    let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
+    // The caller leaves after 2.4 s; the load takes 5.4 s.
+    let held = gateway.enqueue_until(2_400, requirements("n", None, 100));
+    let Some(Decision::Refuse(RefusalReason::NotResident, delay)) = gateway.poll().remove(&held)
+    else {
+        panic!("the request waits");
+    };
+    // It may come back when the model is there, and soon after that.
+    assert!(Duration::from_millis(5_400) < delay, "{delay:?}");
+    assert!(delay < Duration::from_millis(7_500), "{delay:?}");
+    // One whose caller has the time waits.
+    gateway.enqueue_until(15_000, requirements("n", None, 100));
+    assert!(gateway.poll().is_empty());
+}
+
+#[test]
+fn a_request_waits_for_a_load_under_way_that_ends_in_time() {
+    let engines = [engine("a", "east", &[("m", &[])]), engine("b", "east", &[("m", &[])])];
+    let mut gateway = Gateway::new(&engines);
+    gateway.dispatcher.record_loading(gateway.now, &"b".into(), Some("n".into()));
+    gateway.advance(4_000);
+    gateway.dispatcher.record_loading(gateway.now, &"b".into(), Some("n".into()));
+    // The load ends in 1.4 s.
+    let waits = gateway.enqueue_until(2_400, requirements("n", None, 100));
+    let refused = gateway.enqueue_until(1_500, requirements("n", None, 100));
+    let decisions = gateway.poll();
+    assert!(!decisions.contains_key(&waits), "{decisions:?}");
+    let Some(Decision::Refuse(RefusalReason::NotResident, delay)) = decisions.get(&refused) else {
+        panic!("{decisions:?}");
+    };
+    assert!(*delay < Duration::from_millis(2_100), "{delay:?}");
+    gateway.advance(1_400);
+    gateway.registry.set_agent_residency("b", Some(engine("b", "east", &[("n", &[])]).residency));
+    assert_eq!(sent_to(&gateway.poll(), waits).unwrap().as_ref(), "b");
+}
+
+#[test]
+fn a_request_is_refused_once_the_load_that_it_waits_for_is_given_up() {
+    let engines = [engine("a", "east", &[("m", &[])]), engine("b", "east", &[("m", &[])])];
+    let mut gateway = Gateway::new(&engines);
+    gateway.dispatcher.record_loading(gateway.now, &"b".into(), Some("n".into()));
+    gateway.advance(4_500);
+    let waits = gateway.enqueue_until(2_400, requirements("n", None, 100));
+    assert!(gateway.poll().is_empty());
+    // The endpoint was started again and loads nothing.
+    gateway.dispatcher.record_loading(gateway.now, &"b".into(), None);
+    gateway.advance(30);
+    assert!(matches!(gateway.poll()[&waits], Decision::Refuse(RefusalReason::NotResident, _)));
+}
