Prompts are bounded by the measured speed of each model; idle models keep their last replica

Cause: the bound on what an engine reads within the longest pause was counted in tokens of one data sheet (19.2 tokens/ms, 300 ms). The planner took the last replica of idle models for a further replica of a busy one, so that demand that moved there waited for a load of 4 s (112 refused for it), and at most seven loads ran at a time, whatever rate the weight store allows. Change: the speed is measured for each model (least squares over times to the first token of prompts that were alone); the bound follows the shortest pause that the routes of a service allow; the planner counts prompts by that speed and the share of batches and KV caches that a model's requests take up; last replicas stay unless a model has none or its engines are overloaded; models lost with an engine are loaded where there is room; loads at a time follow from the rate and the load times.

--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -14,8 +14,9 @@
 
 use crate::core::{
     forwarding::{
-        EndpointLoad, EndpointRegistry, EndpointRests, EndpointSubset, LoadReport, MissingModels,
-        ModelLoads, ModelRef, Requirements, Route, RouteKind, ServiceName, WantedAdapter,
+        Endpoint, EndpointLoad, EndpointRegistry, EndpointRests, EndpointSubset, LoadReport,
+        MissingModels, ModelLoads, ModelRef, PrefillSpeeds, Requirements, Route, RouteKind,
+        ServiceName, WantedAdapter,
         selection::{
             BASE_FIRST_TOKEN_TIME, BASE_RESPONSE_TIME, Locality, PREFILL_TOKENS_PER_MS, segment_key,
         },
@@ -65,7 +66,11 @@
 #[derive(Clone, Debug)]
 struct RunningRequest {
     endpoint: EndpointId,
+    service: ServiceName,
+    // Work to read the prompt, in tokens of the data sheet's engine.
     prompt_tokens: u32,
+    // Tokens to read, if the endpoint has no other prompt to read.
+    alone: Option<u32>,
     kv_tokens: u64,
     sent_at: Instant,
     expected: Duration,
@@ -89,6 +94,7 @@
     replaced_until: HashMap<EndpointId, Instant>,
     pub(super) missing_models: MissingModels,
     pub(super) model_loads: ModelLoads,
+    pub(super) speeds: PrefillSpeeds,
     pub(super) cached_segments: HashMap<EndpointId, Vec<u64>>,
     // When each adapter was first requested; entries expire after `WANTED_ADAPTER_LIFETIME`.
     pub(super) wanted_adapters: HashMap<WantedAdapter, Instant>,
@@ -124,6 +130,7 @@
             replaced_until: HashMap::new(),
             missing_models: MissingModels::default(),
             model_loads: ModelLoads::default(),
+            speeds: PrefillSpeeds::default(),
             cached_segments: HashMap::new(),
             wanted_adapters: HashMap::new(),
             adapter_wanted: false,
@@ -211,7 +218,11 @@
         }
         let Some(load) = self.loads.get_mut(&running.endpoint) else { return };
         load.record_first_response(now, running.prompt_tokens);
-        load.record_latency(now.saturating_duration_since(running.sent_at), running.expected);
+        let took = now.saturating_duration_since(running.sent_at);
+        load.record_latency(took, running.expected);
+        if let (Some(tokens), Some((model, _))) = (running.alone, &running.model_ref) {
+            self.speeds.record(&running.service, model, tokens, took.as_secs_f64() * 1e3);
+        }
     }
 
     /// Records that a request that was sent did not run.
@@ -265,8 +276,22 @@
     }
 
     /// Stores a load report of an endpoint.
-    pub fn record_report(&mut self, now: Instant, endpoint: &EndpointId, report: LoadReport) {
-        self.loads.entry(endpoint.clone()).or_default().record_report(now, report);
+    pub fn record_report(&mut self, now: Instant, endpoint: &Endpoint, report: LoadReport) {
+        let loaded = &endpoint.residency().loaded;
+        let service = &endpoint.registration.service;
+        let costs = loaded.iter().map(|m| self.speeds.cost(service, &m.name));
+        let cost = if loaded.is_empty() { 1.0 } else { costs.sum::<f64>() / loaded.len() as f64 };
+        self.loads.entry(endpoint.id().clone()).or_default().record_report(now, report, cost);
+    }
+
+    /// The speeds at which engines read prompts.
+    pub fn speeds(&self) -> &PrefillSpeeds {
+        &self.speeds
+    }
+
+    /// Work to read a token of the request's prompt, 1 for an engine of the data sheet.
+    pub(super) fn prompt_cost(&self, service: &ServiceName, requirements: &Requirements) -> f64 {
+        requirements.model.as_ref().map_or(1.0, |model| self.speeds.cost(service, model))
     }
 
     /// The load of an endpoint; an idle one if nothing is known of it.
@@ -330,6 +355,18 @@
         recently_used
     }
 
+    /// Running requests by service and model, with the KV cache tokens that they occupy when they
+    /// end.
+    pub fn running_by_model(&self) -> HashMap<(ServiceName, ModelName), (u32, u64)> {
+        let mut by_model: HashMap<_, (u32, u64)> = HashMap::new();
+        for running in self.running.values() {
+            let Some((model, _)) = &running.model_ref else { continue };
+            let sum = by_model.entry((running.service.clone(), model.clone())).or_default();
+            *sum = (sum.0 + 1, sum.1 + running.kv_tokens);
+        }
+        by_model
+    }
+
     /// Number of queued requests per model, for models that no usable endpoint has
     /// loaded.
     pub fn unserved_models(
@@ -352,7 +389,9 @@
         let requirements = &request.requirements;
         self.limits_changed |= self.limits.take(endpoint);
         self.rests.take(now, endpoint);
-        let prompt_tokens = self.tokens_to_prefill(endpoint, requirements);
+        let read_tokens = self.tokens_to_prefill(endpoint, requirements);
+        let cost = self.prompt_cost(&request.service, requirements);
+        let prompt_tokens = (f64::from(read_tokens) * cost) as u32;
         let load = self.loads.entry(endpoint.clone()).or_default();
         let backlog = load.backlog_tokens(now);
         let tokens = backlog + u64::from(prompt_tokens);
@@ -363,10 +402,13 @@
             }
             _ => BASE_RESPONSE_TIME,
         };
+        let is_alone = load.total_awaiting_first_token(now) == 0;
         load.record_sent(now, prompt_tokens, requirements.kv_tokens());
         let running = RunningRequest {
             endpoint: endpoint.clone(),
+            service: request.service.clone(),
             prompt_tokens,
+            alone: is_alone.then_some(read_tokens),
             kv_tokens: requirements.kv_tokens(),
             sent_at: now,
             expected,
--- a/src/core/forwarding/load.rs
+++ b/src/core/forwarding/load.rs
@@ -11,7 +11,7 @@
 // allowed in a stream, and prefill during it delays the running streams.
 const PREFILL_WINDOW: Duration = Duration::from_millis(300);
 // Assumed prompt length in tokens of other processes' requests.
-const MEAN_PROMPT_TOKENS: u64 = 1200;
+const MEAN_PROMPT_TOKENS: f64 = 1200.0;
 // Weight of a new observation in the moving average of the slowdown.
 const SLOWDOWN_WEIGHT: f64 = 0.15;
 // An endpoint with an outstanding response that sends nothing for longer may have stalled.
@@ -46,6 +46,8 @@
     own_running: u32,
     own_awaiting_first_token: u32,
     own_recent_tokens: u64,
+    // Work to read a token of the models that the endpoint has loaded.
+    token_cost: f64,
 }
 
 /// The load of one endpoint, as this process knows it.
@@ -84,8 +86,8 @@
         &IDLE
     }
 
-    /// Records a sent request with the prompt tokens to prefill and the KV cache tokens
-    /// it will occupy.
+    /// Records a sent request with the work to read its prompt, in tokens of the data sheet's
+    /// engine, and the KV cache tokens it will occupy.
     pub fn record_sent(&mut self, now: Instant, prompt_tokens: u32, kv_tokens: u64) {
         self.recent_prompts.retain(|(at, _)| now < *at + PREFILL_WINDOW);
         self.recent_prompts.push_back((now, prompt_tokens));
@@ -123,8 +125,9 @@
         }
     }
 
-    /// Stores a load report of the endpoint.
-    pub fn record_report(&mut self, now: Instant, report: LoadReport) {
+    /// Stores a load report of the endpoint. `token_cost` is the work to read a token there,
+    /// 1 for an engine of the data sheet.
+    pub fn record_report(&mut self, now: Instant, report: LoadReport, token_cost: f64) {
         self.last_heard = Some(now);
         let (own_running, own_awaiting_first_token) = (self.running, self.awaiting_first_token);
         let own_recent_tokens = self.recent_tokens(now);
@@ -134,6 +137,7 @@
             own_running,
             own_awaiting_first_token,
             own_recent_tokens,
+            token_cost,
         });
     }
 
@@ -182,14 +186,16 @@
     /// a mean length.
     pub fn backlog_tokens(&self, now: Instant) -> u64 {
         let others = u64::from(self.total_awaiting_first_token(now) - self.awaiting_first_token);
-        self.pending_prompt_tokens + others * MEAN_PROMPT_TOKENS
+        let cost = self.fresh_report(now).map_or(1.0, |r| r.token_cost);
+        self.pending_prompt_tokens + (others as f64 * MEAN_PROMPT_TOKENS * cost) as u64
     }
 
     /// Prompt tokens whose prefill currently delays running streams: those sent recently,
     /// or all that are still pending if that is more.
     pub fn prefill_tokens(&self, now: Instant) -> f64 {
         let others = self.fresh_report(now).map_or(0.0, |r| {
-            let reported = r.report.recent_tokens.saturating_sub(r.own_recent_tokens) as f64;
+            let reported = r.report.recent_tokens as f64 * r.token_cost;
+            let reported = (reported - r.own_recent_tokens as f64).max(0.0);
             let age = now.saturating_duration_since(r.at).as_secs_f64();
             // Part of the reported tokens has left the window since the report.
             reported * (1.0 - age / PREFILL_WINDOW.as_secs_f64()).max(0.0)
--- a/src/core/forwarding/mod.rs
+++ b/src/core/forwarding/mod.rs
@@ -9,6 +9,7 @@
 mod missing_models;
 mod model_loads;
 mod poll;
+mod prefill_speed;
 mod requirements;
 mod rests;
 mod retry_budget;
@@ -30,13 +31,14 @@
 pub use load::{EndpointLoad, LoadReport};
 pub use missing_models::MissingModels;
 pub use model_loads::ModelLoads;
+pub use prefill_speed::PrefillSpeeds;
 pub use requirements::{PromptSegment, Requirements};
 pub use rests::{EndedRest, EndpointRests};
 pub use retry_budget::RetryBudget;
 pub use retry_share::{RetryShare, ShareReport};
 pub use routes::{
-    EngineSpec, ModelSpec, RequestLimits, Route, RouteKind, RouteTable, Service, ServiceName,
-    WeightedService,
+    DEFAULT_PAUSE_TARGET, EngineSpec, ModelSpec, RequestLimits, Route, RouteKind, RouteTable,
+    Service, ServiceName, WeightedService,
 };
 pub use selection::Locality;
 pub use subset::EndpointSubset;
--- a/src/core/forwarding/routes.rs
+++ b/src/core/forwarding/routes.rs
@@ -10,6 +10,9 @@
 /// Name of a service.
 pub type ServiceName = Arc<str>;
 
+/// Longest pause in streams that is on time, where no route states one.
+pub const DEFAULT_PAUSE_TARGET: Duration = Duration::from_millis(300);
+
 /// Whether a route's requests are streamed and may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RouteKind {
@@ -127,6 +130,9 @@
     pub max_connections: usize,
     /// Set if the endpoints are model engines.
     pub engine: Option<EngineSpec>,
+    /// Longest pause between two events of its streams that is still on time; set by
+    /// [`RouteTable::new`].
+    pub pause_target: Duration,
 }
 
 /// Limits on the requests of callers.
@@ -175,9 +181,15 @@
     pub fn new(
         version: u64,
         routes: Vec<Route>,
-        services: Vec<Service>,
+        mut services: Vec<Service>,
         limits: Option<RequestLimits>,
     ) -> Self {
+        for service in &mut services {
+            let leads_here = |r: &&Route| r.services.iter().any(|s| s.service == service.name);
+            let streams = routes.iter().filter(|r| matches!(r.kind, RouteKind::Streaming { .. }));
+            let shortest = streams.filter(leads_here).map(|r| r.pause_target).min();
+            service.pause_target = shortest.unwrap_or(DEFAULT_PAUSE_TARGET);
+        }
         let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in routes {
             by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
--- a/src/core/forwarding/selection.rs
+++ b/src/core/forwarding/selection.rs
@@ -8,25 +8,27 @@
 
 use crate::core::{
     forwarding::{
-        Endpoint, EndpointLoad, EndpointRegistry, EngineSpec, RefusalReason, Requirements, Service,
-        WantedAdapter,
+        DEFAULT_PAUSE_TARGET, Endpoint, EndpointLoad, EndpointRegistry, EngineSpec, RefusalReason,
+        Requirements, Service, WantedAdapter,
         dispatcher::{Dispatcher, QueuedRequest},
     },
     hash,
     ids::EndpointId,
 };
 
-/// Prompt tokens that an engine prefills per millisecond, by the operators' data
-/// sheet; the measured latency of each endpoint corrects it.
+/// Prompt tokens that an engine prefills per millisecond, by the operators' data sheet. Work to
+/// read prompts is stated in such tokens; [`PrefillSpeeds`] corrects it for each model.
+///
+/// [`PrefillSpeeds`]: crate::core::forwarding::PrefillSpeeds
 pub(super) const PREFILL_TOKENS_PER_MS: f64 = 19.2;
 /// Part of the time to first token that does not depend on the prompt.
 pub(super) const BASE_FIRST_TOKEN_TIME: Duration = Duration::from_millis(90);
 /// Expected response time of an idle endpoint that is not an engine.
 pub(super) const BASE_RESPONSE_TIME: Duration = Duration::from_millis(60);
 
-/// Maximum prompt tokens that an engine is given to prefill within 300 ms, the longest
-/// pause allowed in a stream. It is what the engine prefills in that time, less the
-/// decoding steps in between.
+/// Maximum work to prefill that an engine is given within 300 ms, in tokens of the data sheet's
+/// engine. It is what that engine prefills in the longest pause that is on time, less the decoding
+/// steps in between; services with other pauses get as much in proportion.
 const MAX_PREFILL_TOKENS: f64 = 4500.0;
 /// The same limit for this process alone, at an engine outside its subset.
 const MAX_UNASSIGNED_TOKENS: f64 = 900.0;
@@ -236,12 +238,17 @@
         let limit = if is_limited { LIMITED_COST_MS } else { 0.0 };
         let penalty = avoidance + limit + self.locality.distance_ms(&endpoint.registration.zone);
         let latency = match &service.engine {
-            Some(spec) => self.engine_score(now, spec, endpoint, load, requirements, share)?,
+            Some(spec) => {
+                let pauses =
+                    service.pause_target.as_secs_f64() / DEFAULT_PAUSE_TARGET.as_secs_f64();
+                self.engine_score(now, spec, endpoint, load, requirements, share, pauses)?
+            }
             None => service_score(endpoint, load)?,
         };
         Some(penalty + latency)
     }
 
+    #[expect(clippy::too_many_arguments, reason = "each bounds what the engine is given")]
     fn engine_score(
         &self,
         now: Instant,
@@ -250,16 +257,19 @@
         load: &EndpointLoad,
         requirements: &Requirements,
         share: f64,
+        pauses: f64,
     ) -> Option<f64> {
         let running = load.total_running(now);
         let slots = if spec.slots == 0 { endpoint.registration.slots } else { spec.slots };
         let full =
             slots <= running || MAX_KV_UTILIZATION <= load.kv_utilization(now, spec.kv_tokens);
         let pending = load.prefill_tokens(now);
-        let prompt = f64::from(self.tokens_to_prefill(endpoint.id(), requirements));
+        let cost = self.prompt_cost(&endpoint.registration.service, requirements);
+        let prompt = f64::from(self.tokens_to_prefill(endpoint.id(), requirements)) * cost;
         let own = load.own_prefill_tokens(now);
-        let own_limit = MAX_UNASSIGNED_TOKENS.max(share * MAX_PREFILL_TOKENS);
-        if full || !fits(prompt, pending, MAX_PREFILL_TOKENS) || !fits(prompt, own, own_limit) {
+        let limit = MAX_PREFILL_TOKENS * pauses;
+        let own_limit = (MAX_UNASSIGNED_TOKENS * pauses).max(share * limit);
+        if full || !fits(prompt, pending, limit) || !fits(prompt, own, own_limit) {
             return None;
         }
         let first_token_ms =
--- a/src/core/placement/fleet_planner.rs
+++ b/src/core/placement/fleet_planner.rs
@@ -7,6 +7,10 @@
 //!   the engine's own disk where possible.
 //! - Many rarely used models are requested at once: each gets a replica, and no last
 //!   replica is evicted while it is in demand.
+//! - Demand moves to a model that was idle: it still has a replica, since last replicas are evicted
+//!   only for models that have none or whose engines are overloaded, and models that were lost with
+//!   an engine are loaded again where there is room.
+//! - Requests of a model are few or short but last long: they take up batches, not prefill time.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -24,11 +28,18 @@
 const MAX_TOKENS_PER_REPLICA: f64 = 4_000.0;
 /// Prompt tokens per second and replica below which a model has too many replicas.
 const IDLE_TOKENS_PER_REPLICA: f64 = 1_300.0;
-/// Concurrent loads from the weight store that still run at full speed, according to
-/// the operators' data sheet.
-const MAX_STORE_LOADS: usize = 7;
-/// Burst size of the weight store's rate limit, in seconds of its rate.
+/// Share of an engine's batch and KV cache that a model's requests take up on each replica before
+/// it gets another one.
+const MAX_BATCH_SHARE: f64 = 0.5;
+/// Load of each replica, as a multiple of that at which a model gets another one, from which an
+/// idle model may lose its last replica for it.
+const OVERLOAD: f64 = 3.0;
+/// Burst of loads beyond the rate of the weight store, in seconds of its rate. With
+/// `MAX_BURST_SECONDS` and `MAX_BURST_LOADS` the loads of five seconds stay below 1.1 times the
+/// rate and three more.
 const BURST_SECONDS: f64 = 1.5;
+const MAX_BURST_SECONDS: f64 = 0.25;
+const MAX_BURST_LOADS: f64 = 3.0;
 /// Time after which a change that the engine has not completed is dropped.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(9);
 /// Time after its start during which the planner evicts nothing, because it has not
@@ -70,6 +81,10 @@
     pub tokens_per_s: f64,
     /// Requests that wait for a replica.
     pub waiting: u32,
+    /// Running requests.
+    pub running: u32,
+    /// KV cache tokens that the running requests occupy when they end.
+    pub kv_tokens: u64,
 }
 
 /// A model to load on an engine and the models to evict for it.
@@ -119,6 +134,7 @@
         demand: &HashMap<ModelName, ModelDemand>,
     ) -> Vec<PlacementChange> {
         self.drop_finished(now, engines);
+        let demand = &loads(spec, demand);
         for model in self.missing_replicas(spec, engines, demand) {
             self.place_replica(now, spec, engines, demand, &model);
         }
@@ -153,7 +169,12 @@
     ) -> Vec<ModelName> {
         let mut wanted = Vec::new();
         for model in spec.models.keys() {
-            let Some(demand) = demand.get(model) else { continue };
+            let Some(demand) = demand.get(model) else {
+                if self.replica_count(engines, model) == 0 {
+                    wanted.push((2, 0.0, 0.0, model.clone()));
+                }
+                continue;
+            };
             let mut replicas = self.replica_count(engines, model);
             if replicas == 0 && (0 < demand.waiting || 1.0 <= demand.tokens_per_s) {
                 wanted.push((0, -f64::from(demand.waiting), -demand.tokens_per_s, model.clone()));
@@ -194,6 +215,7 @@
         model: &ModelName,
     ) {
         let Some(size) = spec.models.get(model) else { return };
+        let is_waited_for = demand.get(model).is_some_and(|d| 0 < d.waiting);
         let mut best: Option<(u64, EndpointId, Vec<ModelName>, bool)> = None;
         for engine in engines {
             let available = engine.can_order
@@ -215,6 +237,9 @@
             ) else {
                 continue;
             };
+            if !unload.is_empty() && !demand.contains_key(model) {
+                continue;
+            }
             let from_store = !engine.cached.contains(model);
             let remaining_demand: f64 = engine
                 .loaded
@@ -222,7 +247,9 @@
                 .filter(|m| !unload.contains(m))
                 .map(|m| demand_per_replica(demand, m, self.replica_count(engines, m)))
                 .sum();
-            let cost = u64::from(from_store) * 100_000
+            // Callers wait for the load, so that its time goes before what it displaces.
+            let store_cost = if is_waited_for { 200_000 } else { 100_000 };
+            let cost = u64::from(from_store) * store_cost
                 + u64::from(!unload.is_empty()) * 20_000
                 + u64::from(unload.iter().any(|m| engine.in_use.contains(m))) * 80_000
                 + remaining_demand as u64
@@ -241,14 +268,13 @@
 
     fn admit_store_load(&mut self, now: Instant, spec: &EngineSpec) -> bool {
         let running = self.pending.values().filter(|p| p.from_store).count();
-        if MAX_STORE_LOADS <= running {
+        if max_store_loads(spec) <= running {
             return false;
         }
         let rate = spec.loads_per_s;
-        let bucket = self
-            .store_limit
-            .get_or_insert_with(|| TokenBucket::new(rate, (rate * BURST_SECONDS).max(1.0), now));
-        bucket.configure(rate, (rate * BURST_SECONDS).max(1.0));
+        let burst = (rate * BURST_SECONDS).min(rate * MAX_BURST_SECONDS + MAX_BURST_LOADS).max(1.0);
+        let bucket = self.store_limit.get_or_insert_with(|| TokenBucket::new(rate, burst, now));
+        bucket.configure(rate, burst);
         bucket.take(now, 1.0).is_ok()
     }
 
@@ -274,18 +300,24 @@
         }
         let wanted_demand =
             demand_per_replica(demand, wanted, self.replica_count(engines, wanted) + 1);
-        let unplaced = self.replica_count(engines, wanted) == 0;
+        let replicas = self.replica_count(engines, wanted);
+        let unplaced = replicas == 0;
+        let per_replica = demand_per_replica(demand, wanted, replicas);
+        let may_take_last = unplaced || MAX_TOKENS_PER_REPLICA * OVERLOAD < per_replica;
         // Models without running requests go first: an unload waits for the model's
         // running requests, and the load waits for the unload.
         let mut victims: Vec<(bool, f64, &ModelName)> = Vec::new();
         for model in &engine.loaded {
             let replicas = self.replica_count(engines, model);
             let past_cooldown = !self.loaded_at.contains_key(&(engine.id.clone(), model.clone()));
-            if !past_cooldown || (replicas < 2 && !can_evict_last_replica(engine, demand, model)) {
+            let is_last = replicas < 2;
+            let may_evict =
+                !is_last || (may_take_last && can_evict_last_replica(engine, demand, model));
+            if !past_cooldown || !may_evict {
                 continue;
             }
             let in_use = engine.in_use.contains(model);
-            if replicas < 2 {
+            if is_last {
                 let rate = demand.get(model).map_or(0.0, |d| d.tokens_per_s);
                 victims.push((in_use, LAST_REPLICA_PENALTY + rate, model));
                 continue;
@@ -314,6 +346,31 @@
     }
 }
 
+/// The demand with the load of each model in prompt tokens per second: what its prompts and its
+/// share of batches and KV caches come to, whichever is more.
+fn loads(
+    spec: &EngineSpec,
+    demand: &HashMap<ModelName, ModelDemand>,
+) -> HashMap<ModelName, ModelDemand> {
+    let load = |demand: &ModelDemand| {
+        let share = |used: f64, capacity: f64| if 0.0 < capacity { used / capacity } else { 0.0 };
+        let batches = share(f64::from(demand.running), f64::from(spec.slots));
+        let caches = share(demand.kv_tokens as f64, spec.kv_tokens as f64);
+        let engines = batches.max(caches) / MAX_BATCH_SHARE;
+        let tokens_per_s = demand.tokens_per_s.max(engines * MAX_TOKENS_PER_REPLICA);
+        ModelDemand { tokens_per_s, ..*demand }
+    };
+    demand.iter().map(|(model, demand)| (model.clone(), load(demand))).collect()
+}
+
+/// Concurrent loads at which the rate of the weight store is reached; more would slow down each
+/// other.
+fn max_store_loads(spec: &EngineSpec) -> usize {
+    let times = spec.models.values().map(|m| m.load_time.as_secs_f64());
+    let mean = times.sum::<f64>() / spec.models.len().max(1) as f64;
+    ((spec.loads_per_s * mean) as usize).max(1)
+}
+
 /// Whether the last replica of a model may be evicted: the model is hardly requested
 /// and not in use, and the engine can reload it fast.
 fn can_evict_last_replica(
--- a/src/core/placement/limited_engines.rs
+++ b/src/core/placement/limited_engines.rs
@@ -18,7 +18,7 @@
 /// use std::collections::HashMap;
 /// use goldcrestpitch::core::placement::{EngineSnapshot, ModelDemand, discount_limited};
 /// let mut engine = EngineSnapshot { loaded: vec!["m".into()], ..EngineSnapshot::default() };
-/// let busy = ModelDemand { tokens_per_s: 6000.0, waiting: 0 };
+/// let busy = ModelDemand { tokens_per_s: 6000.0, ..ModelDemand::default() };
 /// let demand = HashMap::from([("m".into(), busy)]);
 /// discount_limited(std::slice::from_mut(&mut engine), &demand, |_| Some(10.0));
 /// assert_eq!(engine.loaded.len(), 1);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -217,7 +217,7 @@
         state.registry.set_agent_residency(&id, Some(status.residency()));
         let loading = Some(status.loading.as_str()).filter(|model| !model.is_empty());
         state.dispatcher.record_loading(now, &id, loading.map(Into::into));
-        state.dispatcher.record_report(now, &id, LoadReport::from(&EngineLoad::from(status)));
+        record_load(&mut state, now, &id, &EngineLoad::from(status));
         if status.draining {
             state.registry.mark_draining(&id);
         }
@@ -239,7 +239,7 @@
         }
         agent.load_sequence = sequence;
         agent.last_heard = now;
-        state.dispatcher.record_report(now, &id, LoadReport::from(load));
+        record_load(&mut state, now, &id, load);
         drop(state);
         shared.dispatch_waiting();
     }
@@ -460,6 +460,12 @@
     }
 }
 
+fn record_load(state: &mut shared::State, now: Instant, id: &str, load: &EngineLoad) {
+    if let Some(endpoint) = state.registry.get(id) {
+        state.dispatcher.record_report(now, endpoint, LoadReport::from(load));
+    }
+}
+
 /// The registered engines with the addresses of their agents.
 fn agents(state: &shared::State, own: SocketAddr) -> Vec<(EndpointId, SocketAddr)> {
     let engines = state.registry.iter().filter(|e| {
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     core::{
-        forwarding::{EndpointState, ServiceName},
+        forwarding::{EndpointState, PrefillSpeeds, ServiceName},
         ids::{EndpointId, Mib, ModelName},
         placement::{EngineSnapshot, FleetPlanner, ModelDemand, PlacementChange, discount_limited},
     },
@@ -74,7 +74,7 @@
         for service in table.services() {
             let Some(spec) = &service.engine else { continue };
             let mut engines = engines(state, &service.name, agents);
-            let demand = demand_by_model(demand, &service.name);
+            let demand = demand_by_model(demand, &service.name, state.dispatcher.speeds());
             let limits = state.dispatcher.limits();
             discount_limited(&mut engines, &demand, |id| limits.rate(id));
             let planner = self.planners.entry(service.name.clone());
@@ -119,12 +119,22 @@
         .collect()
 }
 
-fn demand_by_model(demand: &[Demand], service: &str) -> HashMap<ModelName, ModelDemand> {
+/// The demand of all gateways for the models of a service, as work for an engine of the operators'
+/// data sheet.
+fn demand_by_model(
+    demand: &[Demand],
+    service: &ServiceName,
+    speeds: &PrefillSpeeds,
+) -> HashMap<ModelName, ModelDemand> {
     let mut models: HashMap<ModelName, ModelDemand> = HashMap::new();
-    for entry in demand.iter().filter(|d| d.service == service) {
-        let sum = models.entry(entry.model.as_str().into()).or_default();
-        sum.tokens_per_s += f64::from(entry.tokens_per_s);
+    for entry in demand.iter().filter(|d| *d.service == **service) {
+        let model: ModelName = entry.model.as_str().into();
+        let cost = speeds.cost(service, &model);
+        let sum = models.entry(model).or_default();
+        sum.tokens_per_s += f64::from(entry.tokens_per_s) * cost;
         sum.waiting += entry.waiting;
+        sum.running += entry.running;
+        sum.kv_tokens += entry.kv_tokens;
     }
     models
 }
@@ -132,14 +142,21 @@
 /// The demand at this gateway, limited to the models with the most waiting requests.
 pub(super) fn own_demand(now: Instant, state: &State) -> Vec<Demand> {
     let mut unserved = state.dispatcher.unserved_models(&state.registry);
+    let running = state.dispatcher.running_by_model();
     let rates = state.demand.rates(now);
     let mut demand: Vec<Demand> = rates
         .into_iter()
-        .map(|(service, model, rate)| Demand {
-            waiting: unserved.remove(&(service.clone(), model.clone())).unwrap_or(0),
-            service: service.to_string(),
-            model: model.to_string(),
-            tokens_per_s: rate as f32,
+        .map(|(service, model, rate)| {
+            let key = (service, model);
+            let (running, kv_tokens) = running.get(&key).copied().unwrap_or_default();
+            Demand {
+                waiting: unserved.remove(&key).unwrap_or(0),
+                service: key.0.to_string(),
+                model: key.1.to_string(),
+                tokens_per_s: rate as f32,
+                running,
+                kv_tokens,
+            }
         })
         .collect();
     demand.sort_by_key(|d| std::cmp::Reverse(d.waiting));
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -294,6 +294,12 @@
     /// Requests that wait for an engine with the model.
     #[prost(uint32, tag = "4")]
     pub waiting: u32,
+    /// Running requests.
+    #[prost(uint32, tag = "5")]
+    pub running: u32,
+    /// KV cache tokens that the running requests occupy when they end.
+    #[prost(uint64, tag = "6")]
+    pub kv_tokens: u64,
 }
 
 /// Suspects of crashes of endpoints.
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     core::forwarding::{
-        EngineSpec, ModelSpec, RequestLimits, Route, RouteKind, RouteTable, Service,
-        WeightedService,
+        DEFAULT_PAUSE_TARGET, EngineSpec, ModelSpec, RequestLimits, Route, RouteKind, RouteTable,
+        Service, WeightedService,
     },
     platform::DecodeError,
 };
@@ -31,8 +31,6 @@
     Duration::from_secs_f64(s.clamp(0.0, MAX_SECONDS))
 }
 
-/// The longest pause between events, where a route declares none.
-const DEFAULT_PAUSE_TARGET: Duration = Duration::from_millis(300);
 /// The platform's callers wait for an event of a stream at least this long, this many times the
 /// latency target, and this many times the longest pause that is on time.
 const MIN_PATIENCE: Duration = Duration::from_secs(2);
@@ -199,6 +197,7 @@
             name: wire.name.into(),
             max_connections: wire.max_conns,
             engine: wire.engine.map(EngineSpec::from),
+            pause_target: DEFAULT_PAUSE_TARGET,
         }
     }
 }
