Requests that wait count for placement; the time to plan a load counts once

Change: requests that run or wait count as the load of a model; the time to plan counts from when the model was first asked for; a lost model takes the place of a replica that its model does not need; three prompts instead of ten outweigh the expected speed.

--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -355,10 +355,14 @@
         recently_used
     }
 
-    /// Running requests by service and model, with the KV cache tokens that they occupy when they
-    /// end.
-    pub fn running_by_model(&self) -> HashMap<(ServiceName, ModelName), (u32, u64)> {
-        let mut by_model: HashMap<_, (u32, u64)> = HashMap::new();
+    /// Running and waiting requests by service and model, with the KV cache tokens that the
+    /// running ones occupy when they end.
+    pub fn requests_by_model(&self) -> HashMap<(ServiceName, ModelName), (u32, u64)> {
+        let queued = self.queue.by_model().iter();
+        let queued = queued.filter_map(|((service, model), count)| {
+            Some(((service.clone(), model.clone()?), (*count, 0)))
+        });
+        let mut by_model: HashMap<_, (u32, u64)> = queued.collect();
         for running in self.running.values() {
             let Some((model, _)) = &running.model_ref else { continue };
             let sum = by_model.entry((running.service.clone(), model.clone())).or_default();
--- a/src/core/forwarding/poll.rs
+++ b/src/core/forwarding/poll.rs
@@ -76,6 +76,7 @@
         self.polled_at = Some(now);
         self.wanted_adapters.retain(|_, since| now < *since + WANTED_ADAPTER_LIFETIME);
         self.limits.refill(now);
+        self.model_loads.expire(now);
         self.queue.mark_late(now);
         let mut round = Round::default();
         if self.max_wait_until.is_some_and(|last| last <= now) {
--- a/src/core/forwarding/prefill_speed.rs
+++ b/src/core/forwarding/prefill_speed.rs
@@ -10,9 +10,9 @@
 
 /// Weight that older observations keep with each new one.
 const DECAY: f64 = 0.99;
-/// Variance of prompt lengths, in square tokens, that the expected speed counts for: ten prompts
+/// Variance of prompt lengths, in square tokens, that the expected speed counts for: three prompts
 /// that differ from the mean by 800 tokens.
-const PRIOR_VARIANCE: f64 = 10.0 * 800.0 * 800.0;
+const PRIOR_VARIANCE: f64 = 3.0 * 800.0 * 800.0;
 /// Range of the speeds that are believed, tokens per millisecond.
 const SPEED_RANGE: std::ops::RangeInclusive<f64> = 4.0..=160.0;
 
--- a/src/core/forwarding/waits.rs
+++ b/src/core/forwarding/waits.rs
@@ -57,7 +57,7 @@
 
     /// Time until a model that no endpoint has loaded can serve the request.
     pub(super) fn time_until_loaded(
-        &self,
+        &mut self,
         now: Instant,
         registry: &EndpointRegistry,
         service: &Service,
--- a/src/core/placement/fleet_planner.rs
+++ b/src/core/placement/fleet_planner.rs
@@ -81,8 +81,8 @@
     pub tokens_per_s: f64,
     /// Requests that wait for a replica.
     pub waiting: u32,
-    /// Running requests.
-    pub running: u32,
+    /// Requests that run or wait.
+    pub requests: u32,
     /// KV cache tokens that the running requests occupy when they end.
     pub kv_tokens: u64,
 }
@@ -237,9 +237,6 @@
             ) else {
                 continue;
             };
-            if !unload.is_empty() && !demand.contains_key(model) {
-                continue;
-            }
             let from_store = !engine.cached.contains(model);
             let remaining_demand: f64 = engine
                 .loaded
@@ -303,7 +300,9 @@
         let replicas = self.replica_count(engines, wanted);
         let unplaced = replicas == 0;
         let per_replica = demand_per_replica(demand, wanted, replicas);
-        let may_take_last = unplaced || MAX_TOKENS_PER_REPLICA * OVERLOAD < per_replica;
+        let is_asked_for = demand.contains_key(wanted);
+        let may_take_last =
+            (unplaced && is_asked_for) || MAX_TOKENS_PER_REPLICA * OVERLOAD < per_replica;
         // Models without running requests go first: an unload waits for the model's
         // running requests, and the load waits for the unload.
         let mut victims: Vec<(bool, f64, &ModelName)> = Vec::new();
@@ -324,7 +323,9 @@
             }
             let remaining = demand_per_replica(demand, model, replicas - 1);
             let surplus = remaining < IDLE_TOKENS_PER_REPLICA.max(wanted_demand / 2.0);
-            if surplus || (unplaced && remaining < MAX_TOKENS_PER_REPLICA * 2.0) {
+            let bound =
+                if is_asked_for { MAX_TOKENS_PER_REPLICA * 2.0 } else { MAX_TOKENS_PER_REPLICA };
+            if surplus || (unplaced && remaining < bound) {
                 victims.push((in_use, remaining, model));
             }
         }
@@ -354,7 +355,7 @@
 ) -> HashMap<ModelName, ModelDemand> {
     let load = |demand: &ModelDemand| {
         let share = |used: f64, capacity: f64| if 0.0 < capacity { used / capacity } else { 0.0 };
-        let batches = share(f64::from(demand.running), f64::from(spec.slots));
+        let batches = share(f64::from(demand.requests), f64::from(spec.slots));
         let caches = share(demand.kv_tokens as f64, spec.kv_tokens as f64);
         let engines = batches.max(caches) / MAX_BATCH_SHARE;
         let tokens_per_s = demand.tokens_per_s.max(engines * MAX_TOKENS_PER_REPLICA);
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -133,7 +133,7 @@
         let sum = models.entry(model).or_default();
         sum.tokens_per_s += f64::from(entry.tokens_per_s) * cost;
         sum.waiting += entry.waiting;
-        sum.running += entry.running;
+        sum.requests += entry.requests;
         sum.kv_tokens += entry.kv_tokens;
     }
     models
@@ -142,19 +142,19 @@
 /// The demand at this gateway, limited to the models with the most waiting requests.
 pub(super) fn own_demand(now: Instant, state: &State) -> Vec<Demand> {
     let mut unserved = state.dispatcher.unserved_models(&state.registry);
-    let running = state.dispatcher.running_by_model();
+    let requests = state.dispatcher.requests_by_model();
     let rates = state.demand.rates(now);
     let mut demand: Vec<Demand> = rates
         .into_iter()
         .map(|(service, model, rate)| {
             let key = (service, model);
-            let (running, kv_tokens) = running.get(&key).copied().unwrap_or_default();
+            let (requests, kv_tokens) = requests.get(&key).copied().unwrap_or_default();
             Demand {
                 waiting: unserved.remove(&key).unwrap_or(0),
                 service: key.0.to_string(),
                 model: key.1.to_string(),
                 tokens_per_s: rate as f32,
-                running,
+                requests,
                 kv_tokens,
             }
         })
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -294,9 +294,9 @@
     /// Requests that wait for an engine with the model.
     #[prost(uint32, tag = "4")]
     pub waiting: u32,
-    /// Running requests.
+    /// Requests that run or wait.
     #[prost(uint32, tag = "5")]
-    pub running: u32,
+    pub requests: u32,
     /// KV cache tokens that the running requests occupy when they end.
     #[prost(uint64, tag = "6")]
     pub kv_tokens: u64,
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -685,3 +685,22 @@
     assert!((pending as f64) / PREFILL_TOKENS_PER_MS < 150.0, "{pending}");
     assert!(0 < pending);
 }
+
+/// All engines come back empty, and have the model on disk. Each time it was decided on a request,
+/// the time to plan the load counted anew, so that it was refused although the load ended in time.
+#[test]
+fn a_request_waits_while_a_load_from_disk_is_planned() {
+    let mut empty = engine("a", "east", &[]);
+    empty.residency.cached = vec!["m".into()];
+    let mut gateway = Gateway::new(&[empty.clone()]);
+    let waits = gateway.enqueue_until(2_800, requirements("m", None, 100));
+    for at in (0..1_900).step_by(50) {
+        assert!(gateway.poll().is_empty(), "after {at} ms");
+        gateway.advance(50);
+        if at == 750 {
+            gateway.dispatcher.record_loading(gateway.now, &"a".into(), Some("m".into()));
+        }
+    }
+    gateway.registry.set_agent_residency("a", Some(engine("a", "east", &[("m", &[])]).residency));
+    assert_eq!(sent_to(&gateway.poll(), waits).unwrap().as_ref(), "a");
+}
--- a/tests/placement/fleet_planner.rs
+++ b/tests/placement/fleet_planner.rs
@@ -291,6 +291,18 @@
     assert_eq!(plan.iter().map(|c| &c.load).collect::<Vec<_>>(), [&name(0)]);
 }
 
+/// The only engine with a rare model leaves, and all others are full.
+#[test]
+fn a_model_that_was_lost_with_its_engine_takes_the_place_of_a_spare_replica() {
+    let mut fleet = Fleet::new(4, 4, false);
+    fleet.spec.models.insert(name(4), fleet.spec.models[&name(0)].clone());
+    assert_eq!(fleet.replicas()[&name(4)], 0);
+    fleet.run(Duration::from_secs(12), &demand(&[(0, 500.0, 0), (1, 5_000.0, 0)]));
+    let replicas = fleet.replicas();
+    assert!(0 < replicas[&name(4)], "{replicas:?}");
+    assert!(1 < replicas[&name(1)], "{replicas:?}");
+}
+
 /// The model that went with an engine is there before it is asked for.
 #[test]
 fn a_model_that_was_lost_with_its_engine_is_loaded_where_there_is_room() {
@@ -314,13 +326,13 @@
     fleet.spec.slots = 64;
     fleet.spec.kv_tokens = 180_000;
     let before = fleet.replicas()[&name(0)];
-    let full = ModelDemand { tokens_per_s: 900.0, running: 120, ..ModelDemand::default() };
+    let full = ModelDemand { tokens_per_s: 900.0, requests: 120, ..ModelDemand::default() };
     fleet.run(Duration::from_secs(30), &HashMap::from([(name(0), full)]));
     assert!(before < fleet.replicas()[&name(0)], "{:?}", fleet.replicas());
     let mut fleet = Fleet::new(6, 6, false);
     fleet.spec.slots = 64;
     fleet.spec.kv_tokens = 180_000;
-    let long = ModelDemand { kv_tokens: 340_000, running: 20, ..full };
+    let long = ModelDemand { kv_tokens: 340_000, requests: 20, ..full };
     fleet.run(Duration::from_secs(30), &HashMap::from([(name(0), long)]));
     assert!(before < fleet.replicas()[&name(0)], "{:?}", fleet.replicas());
 }
