Prompts leave time to decode the tokens of an event

Change: the prefill that an engine is given is the pause of the route less the steps of one event and 45 ms for what is not reported yet, instead of a fixed share of 300 ms.

--- a/src/core/forwarding/routes.rs
+++ b/src/core/forwarding/routes.rs
@@ -111,6 +111,8 @@
     pub slots: u32,
     /// KV cache capacity in tokens.
     pub kv_tokens: u64,
+    /// Tokens in an event of a stream. The engine decodes one in each step of its batch.
+    pub tokens_per_event: u32,
     /// Memory for weights and adapters.
     pub weights_memory: Mib,
     /// Maximum number of loaded adapters.
--- a/src/core/forwarding/selection.rs
+++ b/src/core/forwarding/selection.rs
@@ -8,8 +8,8 @@
 
 use crate::core::{
     forwarding::{
-        DEFAULT_PAUSE_TARGET, Endpoint, EndpointLoad, EndpointRegistry, EngineSpec, RefusalReason,
-        Requirements, Service, WantedAdapter,
+        Endpoint, EndpointLoad, EndpointRegistry, EngineSpec, RefusalReason, Requirements, Service,
+        WantedAdapter,
         dispatcher::{Dispatcher, QueuedRequest},
     },
     hash,
@@ -26,12 +26,15 @@
 /// Expected response time of an idle endpoint that is not an engine.
 pub(super) const BASE_RESPONSE_TIME: Duration = Duration::from_millis(60);
 
-/// Maximum work to prefill that an engine is given within 300 ms, in tokens of the data sheet's
-/// engine. It is what that engine prefills in the longest pause that is on time, less the decoding
-/// steps in between; services with other pauses get as much in proportion.
-const MAX_PREFILL_TOKENS: f64 = 4500.0;
-/// The same limit for this process alone, at an engine outside its subset.
-const MAX_UNASSIGNED_TOKENS: f64 = 900.0;
+/// Time that an engine needs for one step of its batch, without prompts, by the operators' data
+/// sheet.
+const STEP_TIME: Duration = Duration::from_millis(10);
+/// Prefill time that other processes may add before this one hears of it.
+const UNREPORTED_PREFILL_TIME: Duration = Duration::from_millis(45);
+/// Shortest prefill time that an engine is given within a pause.
+const MIN_PREFILL_TIME: Duration = Duration::from_millis(50);
+/// Share of the prefill limit that this process alone may use at an engine outside its subset.
+const UNASSIGNED_SHARE: f64 = 0.2;
 /// A prompt of any length is accepted while the pending tokens are below this share of
 /// the limit.
 const FREE_PREFILL_SHARE: f64 = 0.3;
@@ -239,9 +242,8 @@
         let penalty = avoidance + limit + self.locality.distance_ms(&endpoint.registration.zone);
         let latency = match &service.engine {
             Some(spec) => {
-                let pauses =
-                    service.pause_target.as_secs_f64() / DEFAULT_PAUSE_TARGET.as_secs_f64();
-                self.engine_score(now, spec, endpoint, load, requirements, share, pauses)?
+                let limit = prefill_limit(spec, service.pause_target);
+                self.engine_score(now, spec, endpoint, load, requirements, share, limit)?
             }
             None => service_score(endpoint, load)?,
         };
@@ -257,7 +259,7 @@
         load: &EndpointLoad,
         requirements: &Requirements,
         share: f64,
-        pauses: f64,
+        limit: f64,
     ) -> Option<f64> {
         let running = load.total_running(now);
         let slots = if spec.slots == 0 { endpoint.registration.slots } else { spec.slots };
@@ -267,8 +269,7 @@
         let cost = self.prompt_cost(&endpoint.registration.service, requirements);
         let prompt = f64::from(self.tokens_to_prefill(endpoint.id(), requirements)) * cost;
         let own = load.own_prefill_tokens(now);
-        let limit = MAX_PREFILL_TOKENS * pauses;
-        let own_limit = (MAX_UNASSIGNED_TOKENS * pauses).max(share * limit);
+        let own_limit = UNASSIGNED_SHARE.max(share) * limit;
         if full || !fits(prompt, pending, limit) || !fits(prompt, own, own_limit) {
             return None;
         }
@@ -296,6 +297,15 @@
     }
 }
 
+/// Work to prefill that an engine is given within the longest pause that is on time, in tokens of
+/// the data sheet's engine: what that engine prefills in the pause beside the steps that decode
+/// one event.
+fn prefill_limit(spec: &EngineSpec, pause_target: Duration) -> f64 {
+    let decoding = STEP_TIME * spec.tokens_per_event.max(1);
+    let prefill = pause_target.saturating_sub(decoding + UNREPORTED_PREFILL_TIME);
+    prefill.max(MIN_PREFILL_TIME).as_secs_f64() * 1e3 * PREFILL_TOKENS_PER_MS
+}
+
 fn service_score(endpoint: &Endpoint, load: &EndpointLoad) -> Option<f64> {
     let slots = endpoint.registration.slots.max(1);
     let utilization = f64::from(load.running()) / f64::from(slots);
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -78,6 +78,10 @@
     1
 }
 
+fn default_stride() -> u32 {
+    1
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct SplitWire {
@@ -100,6 +104,9 @@
     #[serde(default)]
     slots: u32,
     kv_capacity: u64,
+    // Tokens in an event.
+    #[serde(default = "default_stride")]
+    stride: u32,
     weights_mb: f64,
     adapter_slots: u32,
     loads_per_s: f64,
@@ -183,6 +190,7 @@
         Self {
             slots: wire.slots,
             kv_tokens: wire.kv_capacity,
+            tokens_per_event: wire.stride,
             weights_memory: wire.weights_mb.max(0.0) as u64,
             adapter_slots: wire.adapter_slots,
             loads_per_s: wire.loads_per_s,
--- a/tests/dispatch_cost.rs
+++ b/tests/dispatch_cost.rs
@@ -45,6 +45,7 @@
     let engine = EngineSpec {
         slots: SLOTS,
         kv_tokens: 1_000_000,
+        tokens_per_event: 2,
         weights_memory: 83,
         adapter_slots: 8,
         loads_per_s: 1.0,
@@ -54,7 +55,7 @@
         name: "llm".into(),
         max_connections: 600,
         engine: Some(engine),
-        pause_target: Duration::ZERO,
+        pause_target: Duration::from_millis(300),
     };
     RouteTable::new(1, Vec::new(), vec![llm], None)
 }
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -46,6 +46,7 @@
     let engine = EngineSpec {
         slots: 64,
         kv_tokens: 120_000,
+        tokens_per_event: 2,
         weights_memory: 83,
         adapter_slots: 8,
         loads_per_s: 1.8,
@@ -55,7 +56,7 @@
         name: "llm".into(),
         max_connections: 600,
         engine: Some(engine),
-        pause_target: TARGET,
+        pause_target: Duration::from_millis(300),
     };
     let desk =
         Service { name: "desk".into(), max_connections: 100, engine: None, pause_target: TARGET };
@@ -704,3 +705,25 @@
     gateway.registry.set_agent_residency("a", Some(engine("a", "east", &[("m", &[])]).residency));
     assert_eq!(sent_to(&gateway.poll(), waits).unwrap().as_ref(), "a");
 }
+
+/// An event holds more tokens than on other engines, so that decoding takes a larger part of the
+/// pause: a tenth of all streams paused for too long.
+#[test]
+fn prompts_leave_time_to_decode_the_tokens_of_an_event() {
+    for tokens_per_event in [1, 5, 10] {
+        let mut gateway = Gateway::new(&[engine("a", "east", &[("m", &[])])]);
+        let mut services: Vec<Service> = gateway.table.services().map(|s| (**s).clone()).collect();
+        for spec in services.iter_mut().filter_map(|s| s.engine.as_mut()) {
+            spec.tokens_per_event = tokens_per_event;
+        }
+        gateway.table = RouteTable::new(2, vec![route(1)], services, None);
+        for _ in 0..60 {
+            gateway.enqueue(1, requirements("m", None, 100));
+        }
+        gateway.poll();
+        let pending = gateway.dispatcher.load("a").pending_prompt_tokens() as f64;
+        // A step takes 9.5 ms at least.
+        let pause = pending / PREFILL_TOKENS_PER_MS + f64::from(tokens_per_event) * 9.5;
+        assert!((200.0..300.0).contains(&pause), "{tokens_per_event} tokens: {pause} ms");
+    }
+}
