A planned stop cuts off no request on a connection that was opened before it

Cause: connections that the system had accepted and the process had not were reset with the listener, and those whose first request was not read yet were closed at once. Change: at the stop, all waiting connections are accepted, and a connection is closed only after its first request, or after a second without one. Evidence: drain::shutdown_answers_requests_on_connections_opened_before_it_stops_to_listen failed before, passes now.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,6 +1,9 @@
 //! An HTTP/1.1 and HTTP/2 server with graceful shutdown.
 
-use std::{convert::Infallible, fmt::Display, future::Future, io, net::SocketAddr, time::Duration};
+use std::{
+    convert::Infallible, fmt::Display, future::Future, io, net::SocketAddr, pin::pin, sync::Arc,
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -12,10 +15,14 @@
 };
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::{conn::auto::Builder, graceful::GracefulShutdown},
+    server::conn::auto::Builder,
 };
 use serde::Serialize;
-use tokio::{net::TcpListener, sync::watch, time};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Notify, mpsc, watch},
+    time,
+};
 
 use crate::{
     errors::{Code, Refusal},
@@ -37,14 +44,17 @@
 const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 // Keeps the accept loop from spinning while the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+// How long a connection without a request stays open after the stop: callers give up a request that
+// is not read within a second.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Creates a stop signal that is not set yet.
 pub fn stop_channel() -> (StopSignal, Stop) {
     watch::channel(false)
 }
 
-/// Serves a listener until the stop is signalled and the requests in progress
-/// have ended. A handler that returns [`ReplyAborted`] closes the connection.
+/// Serves a listener until the stop is signalled and the requests in progress, and those on
+/// connections that were opened before the stop, have ended. A handler that returns [`ReplyAborted`] closes the connection.
 ///
 /// Errors of a single connection don't end the server.
 pub async fn serve<H, F>(listener: TcpListener, handler: H, stop: Stop)
@@ -85,33 +95,70 @@
     http1.timer(TokioTimer::new()).header_read_timeout(limits.read_timeout);
     http1.max_buf_size(limits.max_header_bytes);
     builder.http2().timer(TokioTimer::new()).max_header_list_size(limits.max_header_bytes as u32);
-    let graceful = GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|s| *s) => break,
-        };
-        let Ok((socket, client)) = accepted else {
-            time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
+    // Each open connection holds a sender.
+    let (open, mut closed) = mpsc::channel::<Infallible>(1);
+    let stopped = stop.clone();
+    let open_connection = move |socket: TcpStream, client: SocketAddr| {
         // Otherwise small chunks such as single tokens may be held back for a full segment.
         let _: io::Result<()> = socket.set_nodelay(true);
-        let handler = handler.clone();
-        let service = service_fn(move |req: Request<Incoming>| {
-            let mut req = req.map(RequestBody::from);
-            req.extensions_mut().insert(ClientAddress(client));
-            handler(req)
-        });
+        let requested = Arc::new(Notify::new());
+        let service = {
+            let (handler, requested) = (handler.clone(), requested.clone());
+            service_fn(move |req: Request<Incoming>| {
+                requested.notify_one();
+                let mut req = req.map(RequestBody::from);
+                req.extensions_mut().insert(ClientAddress(client));
+                handler(req)
+            })
+        };
         let connection = builder.serve_connection(TokioIo::new(socket), service).into_owned();
-        let connection = graceful.watch(connection);
+        let (stopped, open) = (stopped.clone(), open.clone());
         tokio::spawn(async move {
+            let mut connection = pin!(connection);
             // Most errors mean that the caller closed its connection, which is not a fault.
+            tokio::select! {
+                biased;
+                _ = connection.as_mut() => return,
+                () = until_closable(stopped, &requested) => {}
+            }
+            connection.as_mut().graceful_shutdown();
             let _ = connection.await;
+            drop(open);
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|s| *s) => break,
+        };
+        match accepted {
+            Ok((socket, client)) => open_connection(socket, client),
+            Err(_) => time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+    // Connections that wait to be accepted would be reset.
+    if let Ok(listener) = listener.into_std() {
+        while let Ok((socket, client)) = listener.accept() {
+            let socket = socket.set_nonblocking(true).and_then(|()| TcpStream::from_std(socket));
+            if let Ok(socket) = socket {
+                open_connection(socket, client);
+            }
+        }
+    }
+    drop(open_connection);
+    // Ends when all connections are closed.
+    let _ = closed.recv().await;
+}
+
+/// Waits until the stop, and then until a connection has had its first request. Closing it earlier
+/// would cut off a request that has arrived and was not read yet.
+async fn until_closable(mut stop: Stop, requested: &Notify) {
+    // An error means that nobody can stop the server any more.
+    if stop.wait_for(|s| *s).await.is_err() {
+        return std::future::pending().await;
     }
-    drop(listener);
-    graceful.shutdown().await;
+    // The result does not matter: the connection closes in both cases.
+    let _ = time::timeout(FIRST_REQUEST_TIMEOUT, requested.notified()).await;
 }
 
 /// Reads a request body of at most `max_bytes` within `timeout`.
--- a/tests/gateway/drain.rs
+++ b/tests/gateway/drain.rs
@@ -194,3 +194,38 @@
         shutdown.await.unwrap();
     });
 }
+
+/// Callers connect and send while a gateway stops under load: connections that the system had
+/// accepted were reset, and new ones closed before their first request was read.
+#[test]
+fn shutdown_answers_requests_on_connections_opened_before_it_stops_to_listen() {
+    run(async {
+        let endpoint = healthy_endpoint().await;
+        let gateway = TestGateway::start(&[&endpoint]).await;
+        let client_address = gateway.client_address;
+        let stopping = tokio::spawn(gateway.process.stop());
+        let mut callers = Vec::new();
+        // Half of the grace period of 4 s passes before the gateway closes its listener.
+        loop {
+            let Ok(mut socket) = TcpStream::connect(client_address).await else { break };
+            callers.push(tokio::spawn(async move {
+                // The request comes a moment after the connection.
+                time::sleep(Duration::from_millis(40)).await;
+                let request = http_request("GET", "/read/1", "x-request-id: q1\r\n", "");
+                if socket.write_all(request.as_bytes()).await.is_err() {
+                    return 0;
+                }
+                read_response(&mut socket, &mut Vec::new()).await.status
+            }));
+            time::sleep(Duration::from_millis(5)).await;
+        }
+        let mut statuses = Vec::new();
+        for caller in callers {
+            statuses.push(caller.await.unwrap());
+        }
+        assert!(10 < statuses.len(), "{}", statuses.len());
+        let unanswered = statuses.iter().filter(|status| **status != 200).count();
+        assert_eq!(unanswered, 0, "of {}: {statuses:?}", statuses.len());
+        stopping.await.unwrap();
+    });
+}
