Orders to engines have connections of their own; answers without a report's fields are none

Callers could see: an engine shown as empty, or a load that never comes. Change: reports and orders use separate connections; a report needs its models and its number of orders; numbers from other gateways that are none are left out, and sums of reports saturate. Evidence: two tests with an engine that repeats its reports, and with one that answers without them.

--- a/src/core/forwarding/load.rs
+++ b/src/core/forwarding/load.rs
@@ -168,10 +168,10 @@
 
     /// Requests of all processes at the endpoint.
     pub fn total_running(&self, now: Instant) -> u32 {
-        let others = self
-            .fresh_report(now)
-            .map_or(0, |r| (r.report.active + r.report.queued).saturating_sub(r.own_running));
-        self.running + others
+        let others = self.fresh_report(now).map_or(0, |r| {
+            r.report.active.saturating_add(r.report.queued).saturating_sub(r.own_running)
+        });
+        self.running.saturating_add(others)
     }
 
     /// Requests of all processes that have no first token yet.
@@ -179,7 +179,7 @@
         let others = self.fresh_report(now).map_or(0, |r| {
             r.report.awaiting_first_token.saturating_sub(r.own_awaiting_first_token)
         });
-        self.awaiting_first_token + others
+        self.awaiting_first_token.saturating_add(others)
     }
 
     /// Prompt tokens queued ahead of a new request; prompts of other processes count with
--- a/src/gateway/planner.rs
+++ b/src/gateway/planner.rs
@@ -127,14 +127,16 @@
     speeds: &PrefillSpeeds,
 ) -> HashMap<ModelName, ModelDemand> {
     let mut models: HashMap<ModelName, ModelDemand> = HashMap::new();
-    for entry in demand.iter().filter(|d| *d.service == **service) {
+    // A number that is none comes from a peer that sends what cannot be used.
+    let usable = |d: &&Demand| *d.service == **service && d.tokens_per_s.is_finite();
+    for entry in demand.iter().filter(usable) {
         let model: ModelName = entry.model.as_str().into();
         let cost = speeds.cost(service, &model);
         let sum = models.entry(model).or_default();
-        sum.tokens_per_s += f64::from(entry.tokens_per_s) * cost;
-        sum.waiting += entry.waiting;
-        sum.requests += entry.requests;
-        sum.kv_tokens += entry.kv_tokens;
+        sum.tokens_per_s += f64::from(entry.tokens_per_s.max(0.0)) * cost;
+        sum.waiting = sum.waiting.saturating_add(entry.waiting);
+        sum.requests = sum.requests.saturating_add(entry.requests);
+        sum.kv_tokens = sum.kv_tokens.saturating_add(entry.kv_tokens);
     }
     models
 }
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -32,7 +32,6 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct ReportWire {
-    #[serde(default)]
     models: Vec<LoadedModelWire>,
     #[serde(default)]
     at_hand: Option<CachedModelsWire>,
@@ -40,7 +39,6 @@
     coming: Vec<String>,
     #[serde(default)]
     busy: bool,
-    #[serde(default)]
     seq: u64,
     #[serde(default)]
     queued: u32,
@@ -123,14 +121,18 @@
 /// Client of one engine.
 #[derive(Clone, Debug)]
 pub struct EngineClient {
-    client: Client,
+    reports: Client,
+    // On connections of their own: an answer that comes twice, late, is then not taken for that to
+    // an order.
+    orders: Client,
     holder: String,
 }
 
 impl EngineClient {
     /// Creates a client of the engine at an address. `holder` names the sender in orders.
     pub fn new(address: SocketAddr, holder: &str) -> Self {
-        Self { client: Client::new(address), holder: holder.to_owned() }
+        let (reports, orders) = (Client::new(address), Client::new(address));
+        Self { reports, orders, holder: holder.to_owned() }
     }
 
     /// Reads the engine's report.
@@ -138,7 +140,8 @@
     /// # Errors
     /// [`DecodeError`] if no report is received or it cannot be decoded.
     pub async fn report(&self) -> Result<EngineReport, DecodeError> {
-        let report: Result<ReportWire, _> = self.client.get_json(REPORT_PATH, REPORT_TIMEOUT).await;
+        let report: Result<ReportWire, _> =
+            self.reports.get_json(REPORT_PATH, REPORT_TIMEOUT).await;
         report.map(EngineReport::from).map_err(|err| DecodeError(err.to_string()))
     }
 
@@ -162,7 +165,7 @@
         let body = serde_json::to_vec(&wire).map_err(|e| OrderError::NotSent(e.to_string()))?;
         let mut headers = HeaderMap::new();
         headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
-        let call = self.client.call(Method::POST, ORDER_PATH, headers, body.into(), ORDER_TIMEOUT);
+        let call = self.orders.call(Method::POST, ORDER_PATH, headers, body.into(), ORDER_TIMEOUT);
         match call.await {
             Ok(_) => Ok(OrderAnswer::Accepted),
             Err(ClientError::Status(status, _)) => Ok(match status.as_u16() {
--- a/tests/engine_agent.rs
+++ b/tests/engine_agent.rs
@@ -10,15 +10,20 @@
 };
 
 use goldcrestpitch::{
+    core::residency::{EngineOrder, Operation, OrderAnswer},
     engine_agent::{self, EngineAgent, EngineAgentConfig},
     fakes::{FakeLog, LogFaults},
     gossip::{Body, ChangeKind, EngineStatus, Hello, ResidencyChange, Socket},
     http,
-    platform::{CONFIGURATION, Store},
+    platform::{CONFIGURATION, EngineClient, Store},
 };
 use hyper::{Request, StatusCode};
 use serde_json::json;
-use tokio::{net::TcpListener, time};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time,
+};
 
 /// Counts the requests to a fake engine and controls how it answers.
 #[derive(Debug, Default)]
@@ -236,3 +241,74 @@
         fixture.agent.stop();
     });
 }
+
+/// The engine sends a second copy of its last report, late: on a connection on which an order has
+/// just been sent. The agent took it for the answer to the order.
+#[test]
+fn a_late_copy_of_a_report_is_not_taken_for_the_answer_to_an_order() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = EngineClient::new(listener.local_addr().unwrap(), "side-1");
+        tokio::spawn(async move {
+            loop {
+                let (socket, _) = listener.accept().await.unwrap();
+                tokio::spawn(repeat_reports(socket));
+            }
+        });
+        let order = EngineOrder {
+            operation: Operation::Load,
+            model: "m".into(),
+            adapter: None,
+            expected: 0,
+            fence: 7,
+        };
+        for _ in 0..3 {
+            assert_eq!(client.report().await.unwrap().order_seq, 3);
+            assert_eq!(client.order(&order).await, Ok(OrderAnswer::Conflict));
+        }
+    });
+}
+
+/// Answers reports, and orders with 409, but first with a copy of the report that this connection
+/// had before.
+async fn repeat_reports(mut socket: TcpStream) {
+    let report = r#"{"Models":[],"Busy":false,"Seq":3}"#;
+    let report = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{report}", report.len());
+    let refusal = "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n";
+    let mut sent_report = false;
+    let mut buf = Vec::new();
+    while matches!(socket.read_buf(&mut buf).await, Ok(1..)) {
+        let text = String::from_utf8_lossy(&buf).into_owned();
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let is_order = head.starts_with("POST");
+        if is_order && !body.ends_with('}') {
+            continue;
+        }
+        buf.clear();
+        if is_order && sent_report {
+            socket.write_all(report.as_bytes()).await.unwrap();
+        }
+        let answer = if is_order { refusal } else { &report };
+        if socket.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+        sent_report |= !is_order;
+    }
+}
+
+/// An answer without the fields of a report, such as one that was meant for another call, showed an
+/// engine without models.
+#[test]
+fn an_answer_that_is_no_report_shows_no_empty_engine() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = EngineClient::new(listener.local_addr().unwrap(), "side-1");
+        let (_stop, stopped) = http::stop_channel();
+        let handler =
+            |_| async { Ok::<_, http::ReplyAborted>(http::json(StatusCode::OK, &json!({}))) };
+        tokio::spawn(http::serve(listener, handler, stopped));
+        assert!(client.report().await.is_err());
+    });
+}
