A process that was paused does not act on what it was allowed before

Cause (read in the code, after reports of operators of similar systems): a gateway that thaws counts all others as silent, so that it takes itself for the planner and sends the plan that it had before the pause; an agent used the time from before it read the engine's report, so that requests for changes that expired in a pause were still carried out. Change: after a pause of more than a second a gateway listens to the others for a second before it plans; the agent takes the time after the report. Evidence: the documented example of PlannerTenure in virtual time; no test pauses a real process yet.

--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -348,9 +348,11 @@
             () = shared.change_requested.notified() => {}
         }
         wait = REPORT_INTERVAL;
-        let now = Instant::now();
         let order_in_flight = shared.lock().order_scheduler.is_awaiting_answer();
-        match shared.engine.report().await {
+        let report = shared.engine.report().await;
+        // The process may have been paused meanwhile: requests for changes have expired by now.
+        let now = Instant::now();
+        match report {
             Ok(mut report) => {
                 let mut state = shared.lock();
                 report.load.recent_tokens = state.arrivals.recent_tokens(now, &report.running);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -21,6 +21,7 @@
             Endpoint, EndpointSubset, LoadReport, Locality, ModelRef, ShareReport, WantedAdapter,
         },
         ids::EndpointId,
+        placement::PlannerTenure,
     },
     gateway::{
         crash_reports::{self, CrashReporter},
@@ -56,6 +57,7 @@
     agents: HashMap<EndpointId, AgentInfo>,
     last_hello: HashMap<EndpointId, Instant>,
     crash_reporter: CrashReporter,
+    tenure: PlannerTenure,
     // Gateways that have just started or were silent, and were not told of streams yet.
     newcomers: Vec<SocketAddr>,
     // Whether this gateway stops and has handed over what it knows of streams.
@@ -121,6 +123,7 @@
             agents: HashMap::new(),
             last_hello: HashMap::new(),
             crash_reporter: CrashReporter::default(),
+            tenure: PlannerTenure::default(),
             newcomers: Vec::new(),
             handed_over: false,
             started: Instant::now(),
@@ -427,7 +430,9 @@
     ) {
         let now = Instant::now();
         let serving = shared.is_ready();
-        let is_planner = self.is_planner(now, own, serving);
+        // After a pause all others seem silent, and plans and demand are old.
+        let may_plan = self.tenure.may_plan(now);
+        let is_planner = may_plan && self.is_planner(now, own, serving);
         let mut state = shared.lock();
         let demand = if is_planner { self.demand(now, &state) } else { Vec::new() };
         let placement_changes = planner.run(now, &state, &self.agents, &demand, is_planner);
