A stream at a silent endpoint is answered before its caller leaves

Cause: nothing gave up a stream of a route with one attempt before its deadline of 15 s, while callers leave after 2.4 to 4.8 s without an event. Change: when the caller is about to leave and the endpoint has neither answered nor reported for 0.9 s, the caller gets 504 and the connection to the endpoint is closed. An endpoint that answers others is waited for. Evidence: two tests; stream_of_an_endpoint_that_stays_silent... gets 200 after 5 s without the change.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -103,15 +103,28 @@
         last_event: Option<&str>,
     ) -> Result<EndpointResponse, (Attempt, AttemptError)> {
         let mut sending = pin!(self.send(&attempt, last_event));
-        let mut wait = self.response_timeout();
+        let mut second_at = Instant::now() + self.response_timeout();
         let mut pause = SECOND_ATTEMPT_PAUSE;
+        let leaves_at = self.caller_leaves_at();
         let result = loop {
-            if !self.can_run_again() {
+            let now = Instant::now();
+            let next_second = self.can_run_again().then_some(second_at);
+            let next_leave = leaves_at.filter(|at| now < *at);
+            let Some(until) = [next_second, next_leave].into_iter().flatten().min() else {
                 break sending.await;
-            }
-            if let Ok(result) = time::timeout(wait, &mut sending).await {
+            };
+            if let Ok(result) = time::timeout_at(until.into(), &mut sending).await {
                 break result;
             }
+            let now = Instant::now();
+            if leaves_at.is_some_and(|at| at <= now) && self.is_silent(&attempt.endpoint) {
+                // The caller gets an answer instead of leaving. An endpoint that is paused finds
+                // the connection closed.
+                break Err(AttemptError::TimedOut);
+            }
+            if next_second.is_none_or(|at| now < at) {
+                continue;
+            }
             self.record_silence(&attempt.endpoint);
             let run = &mut attempt.run;
             let is_usable = |result: &Result<SentRequest, AttemptError>| match result {
@@ -129,7 +142,7 @@
                 }
                 Race::Undecided => {
                     self.tried = vec![attempt.endpoint.clone()];
-                    wait = pause;
+                    second_at = Instant::now() + pause;
                     pause *= 2;
                 }
             }
@@ -140,6 +153,11 @@
         }
     }
 
+    /// Whether the endpoint neither responds nor reports.
+    fn is_silent(&self, endpoint: &str) -> bool {
+        self.shared.lock().dispatcher.load(endpoint).is_unresponsive(Instant::now())
+    }
+
     /// Waits for `first` beside a second attempt. `is_usable` tells whether its output is
     /// one to go on with; if not, the second attempt decides.
     pub(super) async fn race_second<F: Future>(
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -362,12 +362,16 @@
         histogram!(names::REQUEST, "class" => class).record(elapsed);
     }
 
-    /// Until when the next event or the answer is of use to the caller: those of a stream leave
-    /// when nothing arrives for some time.
+    /// Until when the next event or the answer is of use to the caller.
     pub(super) fn answer_needed_by(&self) -> Instant {
+        self.caller_leaves_at().unwrap_or(self.limit.deadline())
+    }
+
+    /// When the caller of a stream leaves unless something arrives, if that is before the deadline.
+    pub(super) fn caller_leaves_at(&self) -> Option<Instant> {
         let heard_at = self.last_event_at.unwrap_or(self.limit.received_at());
-        let leaves_at = self.route.patience.map(|p| heard_at + p.saturating_sub(LEAVE_MARGIN));
-        leaves_at.map_or(self.limit.deadline(), |at| at.min(self.limit.deadline()))
+        let leaves_at = heard_at + self.route.patience?.saturating_sub(LEAVE_MARGIN);
+        Some(leaves_at).filter(|at| *at < self.limit.deadline())
     }
 
     /// The request id that the caller set.
--- a/tests/gateway/silent_endpoints.rs
+++ b/tests/gateway/silent_endpoints.rs
@@ -1,7 +1,9 @@
 //! Endpoints that are silent for a while and then go on: their responses are not given up
 //! for that reason.
 
-use std::time::Duration;
+use std::{pin::pin, time::Duration};
+
+use tokio::time;
 
 use crate::{
     run,
@@ -147,3 +149,59 @@
         }
     });
 }
+
+/// An endpoint is paused. Callers left while requests waited there, and it read those when it went on.
+#[test]
+fn stream_of_an_endpoint_that_stays_silent_is_answered_before_its_caller_leaves() {
+    run(async {
+        let endpoint = ScriptedEndpoint::start(|request| {
+            let pause = Step::Pause(Duration::from_secs(5));
+            let stream = [stream_head(request.id()), chunk(&events(0..4)), last_chunk()];
+            [vec![pause], stream.into()].concat()
+        })
+        .await;
+        let gateway = TestGateway::start(&[&endpoint]).await;
+        let mut once = route("/stream/", "streaming", 1);
+        once["TimeoutMs"] = 20_000.into();
+        gateway.configure(2, &[once]).await;
+        gateway.wait_for_version(2).await;
+        let response = gateway.send("POST", "/stream/1", "x-deadline-ms: 15000\r\n", "").await;
+        assert_eq!((response.status, response.complete), (504, true));
+        assert_eq!(endpoint.requests().len(), 1);
+    });
+}
+
+/// An endpoint that answers others is slow, but not silent.
+#[test]
+fn stream_of_a_slow_endpoint_that_answers_others_is_not_given_up() {
+    run(async {
+        let endpoint = ScriptedEndpoint::start(|request| {
+            let pause = if request.path == "/stream/slow" { 3_000 } else { 0 };
+            let pause = Step::Pause(Duration::from_millis(pause));
+            let stream = [stream_head(request.id()), chunk(&events(0..4)), last_chunk()];
+            [vec![pause], stream.into()].concat()
+        })
+        .await;
+        let gateway = TestGateway::start(&[&endpoint]).await;
+        let mut once = route("/stream/", "streaming", 1);
+        once["TimeoutMs"] = 20_000.into();
+        gateway.configure(2, &[once]).await;
+        gateway.wait_for_version(2).await;
+        let mut slow = pin!(gateway.send("POST", "/stream/slow", "x-deadline-ms: 15000\r\n", ""));
+        let response = loop {
+            let pause = time::sleep(Duration::from_millis(100));
+            tokio::select! {
+                response = &mut slow => break response,
+                () = pause => {}
+            }
+            let headers = "x-request-id: q2\r\nx-deadline-ms: 15000\r\n";
+            tokio::select! {
+                response = &mut slow => break response,
+                other = gateway.send("POST", "/stream/fast", headers, "") => {
+                    assert_eq!(other.status, 200);
+                }
+            }
+        };
+        assert_whole_stream(&response);
+    });
+}
