--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -31,6 +31,8 @@
         model: model_name(i),
         tokens_per_s: 12_345.6,
         waiting: 99,
+        requests: 9_999,
+        kv_tokens: 20_000_000,
     };
     let status = GatewayStatus {
         serving: true,
