--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -153,11 +153,9 @@
 /// Waits until the stop, and then until a connection has had its first request. Closing it earlier
 /// would cut off a request that has arrived and was not read yet.
 async fn until_closable(mut stop: Stop, requested: &Notify) {
-    // An error means that nobody can stop the server any more.
-    if stop.wait_for(|s| *s).await.is_err() {
-        return std::future::pending().await;
-    }
-    // The result does not matter: the connection closes in both cases.
+    // The results do not matter: a dropped signal stops the server too, and the connection closes
+    // with or without a request.
+    let _ = stop.wait_for(|s| *s).await;
     let _ = time::timeout(FIRST_REQUEST_TIMEOUT, requested.notified()).await;
 }
 
