Review: cases 2 to 4 contain a final fault

Tried: a quarter or less of the engines or servers crashes, then all processes are killed (2, 3); all machines lose power and the engine crashes once in the recovery (4).

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc,
     },
     thread,
@@ -41,18 +41,33 @@
     service: LLM,
 };
 
+/// Cleared to play the final fault of a case alone, without the crash of engines or servers.
+static CRASHES: AtomicBool = AtomicBool::new(true);
+
+fn crashes() -> bool {
+    CRASHES.load(Ordering::SeqCst)
+}
+
 pub fn play(name: &str, record: &Arc<Record>, trouble: bool) -> Option<String> {
-    match name {
+    let case = name.strip_suffix("-final-fault-only");
+    CRASHES.store(case.is_none(), Ordering::SeqCst);
+    match case.unwrap_or(name) {
         "late-order" => late_order(record, trouble),
         "crash-while-loading" => crash_while_loading(record, trouble),
-        "shared-prompt" => shared_prompt(record, trouble, 2, "5c1e07a2:95,91bd3f06:60"),
+        // Four engines crash one after the other, each twice, without a final fault.
+        "crashes-one-by-one" => crashes_one_by_one(record, trouble),
+        "shared-prompt" => shared_prompt(record, trouble, true, 2, "5c1e07a2:95,91bd3f06:60"),
+        // Without the final fault.
+        "shared-prompt-crash-only" => {
+            shared_prompt(record, trouble, false, 2, "5c1e07a2:95,91bd3f06:60")
+        }
         // One shared part, and all callers at one of two gateways.
-        "shared-prompt-one-gateway" => shared_prompt(record, trouble, 1, "5c1e07a3:155"),
+        "shared-prompt-one-gateway" => shared_prompt(record, trouble, false, 1, "5c1e07a3:155"),
         // One shared part, and callers at both gateways.
-        "shared-prompt-one-part" => shared_prompt(record, trouble, 2, "5c1e07a3:155"),
-        "polled-page" => polled_page(record, trouble, false),
-        // All gateways are started again meanwhile.
-        "polled-page-restarts" => polled_page(record, trouble, true),
+        "shared-prompt-one-part" => shared_prompt(record, trouble, false, 2, "5c1e07a3:155"),
+        "polled-page" => polled_page(record, trouble, true),
+        // Without the final fault.
+        "polled-page-crash-only" => polled_page(record, trouble, false),
         "frozen-agent" => frozen_agent(record, trouble),
         other => panic!("no case {other}"),
     }
@@ -216,6 +231,50 @@
 // ---- RECOVER: an engine crashes during the first load after its start ------------------------
 
 fn crash_while_loading(record: &Arc<Record>, trouble: bool) -> Option<String> {
+    let mut fleet = Fleet::new(record);
+    let spec = engine_spec(&fleet, 0, 2);
+    let engine = fleet.engine(spec.clone(), Box::new(never_late));
+    fleet.configure(7, &[STREAMS], &[(LLM, 630, Some(&spec))]);
+    engine.start(&MODELS[..2]);
+    fleet.start_agent(0, LLM);
+    fleet.start_gateways(2);
+    let clients = Clients::new(record, &fleet.gateways);
+    sleep(2.0);
+    let began = record.seconds();
+    let kind = stream_kind("draft", |n| brief(n, MODELS[n as usize % 2], "5c1e07a2:155"));
+    clients.send_steadily(kind, 8.0, || false);
+    sleep(6.0);
+    let fault = record.seconds();
+    if trouble {
+        // All machines lose power, that of the engine too.
+        engine.crash();
+        fleet.kill_all(ms(1400));
+        engine.start(&[]);
+        // The engine crashes once more, while it loads its first model.
+        wait_for("a load begins", 15.0, || engine.loading().is_some());
+        sleep(0.5);
+        if crashes() {
+            engine.crash();
+            sleep(2.0);
+            engine.start(&[]);
+        }
+    }
+    let back = record.seconds();
+    sleep(RECOVER_S);
+    let judged_from = record.seconds();
+    sleep(25.0);
+    let judged_until = record.seconds();
+    record.say(&format!("engine-0 holds {:?}, Seq {}", engine.loaded(), engine.seq()));
+    sleep(2.0);
+    clients.stop();
+    record.say(&format!("all machines and the engine were back at {back:.1} s"));
+    fleet.quote_logs(&["event=order ", "event=engine_"], 200);
+    judge_recovery(record, &clients, (began, fault), (judged_from, judged_until))
+}
+
+// ---- RECOVER: four engines crash so, one at a time (a variant) --------------------------------
+
+fn crashes_one_by_one(record: &Arc<Record>, trouble: bool) -> Option<String> {
     const ENGINES: usize = 4;
     let mut fleet = Fleet::new(record);
     let specs: Vec<Spec> = (0..ENGINES).map(|i| engine_spec(&fleet, i, 8)).collect();
@@ -265,11 +324,12 @@
 fn shared_prompt(
     record: &Arc<Record>,
     trouble: bool,
+    final_fault: bool,
     used_gateways: usize,
     shared: &'static str,
 ) -> Option<String> {
-    const ENGINES: usize = 20;
-    // A quarter of the engines.
+    const ENGINES: usize = 30;
+    // A share of 0.17 of the engines.
     const CRASHING: usize = 5;
     let mut fleet = Fleet::new(record);
     let specs: Vec<Spec> = (0..ENGINES).map(|i| engine_spec(&fleet, i, 8)).collect();
@@ -292,13 +352,20 @@
     let others = stream_kind("other", |n| brief(n, MODELS[1 + n as usize % 7], "7d20c3e1:155"));
     clients.send_steadily(others, 4.0, || false);
     sleep(6.0);
-    let fault = record.seconds();
+    let mut fault = record.seconds();
     if trouble {
-        for engine in &engines[..CRASHING] {
+        for engine in engines[..CRASHING].iter().filter(|_| crashes()) {
             engine.crash();
         }
-        sleep(2.0);
-        for engine in &engines[..CRASHING] {
+        if final_fault {
+            sleep(1.0);
+            fault = record.seconds();
+            fleet.kill_all(ms(900));
+            sleep(2.6);
+        } else {
+            sleep(4.5);
+        }
+        for engine in engines[..CRASHING].iter().filter(|_| crashes()) {
             engine.start(&[]);
         }
     }
@@ -312,7 +379,7 @@
     }
     sleep(2.0);
     clients.stop();
-    record.say(&format!("all engines were back at {back:.1} s"));
+    record.say(&format!("all machines and engines were back at {back:.1} s"));
     let logs = ["event=endpoint_crashed", "event=suspect", "event=order "];
     fleet.quote_logs(&logs, 60);
     judge_recovery(record, &clients, (began, fault), (judged_from, judged_until))
@@ -329,7 +396,7 @@
 
 // ---- RECOVER: one page is polled, and three of twelve servers crash at once --------------------
 
-fn polled_page(record: &Arc<Record>, trouble: bool, restarts: bool) -> Option<String> {
+fn polled_page(record: &Arc<Record>, trouble: bool, final_fault: bool) -> Option<String> {
     const SERVERS: usize = 12;
     // A quarter of the servers.
     const CRASHING: usize = 3;
@@ -375,29 +442,29 @@
     };
     clients.send_steadily(kind, 240.0, || false);
     sleep(6.0);
-    let fault = record.seconds();
+    let mut fault = record.seconds();
     if trouble {
-        for server in &servers[..CRASHING] {
+        for server in servers[..CRASHING].iter().filter(|_| crashes()) {
             server.crash();
         }
         sleep(2.0);
-        for server in &servers[..CRASHING] {
+        for server in servers[..CRASHING].iter().filter(|_| crashes()) {
             server.start(&[]);
         }
     }
-    let back = record.seconds();
-    if restarts {
-        sleep(5.0);
-        fleet.restart_gateway(0);
-        fleet.restart_gateway(1);
+    if trouble && final_fault {
+        sleep(2.0);
+        fault = record.seconds();
+        fleet.kill_all(ms(900));
     }
+    let back = record.seconds();
     sleep(RECOVER_S);
     let judged_from = record.seconds();
     sleep(20.0);
     let judged_until = record.seconds();
     sleep(1.0);
     clients.stop();
-    record.say(&format!("all servers were back at {back:.1} s"));
+    record.say(&format!("all machines and servers were back at {back:.1} s"));
     fleet.quote_logs(&["event=endpoint_crashed", "event=suspect"], 200);
     judge_recovery(record, &clients, (began, fault), (judged_from, judged_until))
 }
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -36,6 +36,8 @@
     pub gateways: Vec<SocketAddr>,
     folder: PathBuf,
     children: Arc<Mutex<Vec<(String, Child)>>>,
+    // Role, name and settings of each process.
+    programs: Mutex<Vec<(String, String, String)>>,
 }
 
 /// A case ends after this time whatever happens.
@@ -65,7 +67,7 @@
         let seed = std::process::id() as u16;
         let port = 21_000 + (seed.wrapping_mul(31).wrapping_add(attempt.wrapping_mul(97))) % 10_000;
         let is_free = |group| {
-            (0..24).all(|i| {
+            (0..32).all(|i| {
                 let ip = ip(group, i);
                 (0..4).all(|p| TcpListener::bind((ip, port + p)).is_ok())
                     && UdpSocket::bind((ip, port + 2)).is_ok()
@@ -93,7 +95,15 @@
             end_all(&watched);
             std::process::exit(2)
         });
-        Self { record: record.clone(), store, port, gateways: Vec::new(), folder, children }
+        Self {
+            record: record.clone(),
+            store,
+            port,
+            gateways: Vec::new(),
+            folder,
+            children,
+            programs: Mutex::default(),
+        }
     }
 
     /// Writes the operator's configuration. `services` are name, connections and the models
@@ -170,9 +180,16 @@
     }
 
     fn spawn(&self, role: &str, name: &str, settings: String) {
+        let mut programs = self.programs.lock().unwrap();
+        if programs.iter().all(|(_, known, _)| known != name) {
+            let later = settings.replace("first_start = true", "first_start = false");
+            programs.push((role.to_owned(), name.to_owned(), later));
+        }
+        drop(programs);
         let file = self.folder.join(format!("{name}.ini"));
         fs::write(&file, settings).expect("the settings file can be written");
-        let log = File::create(self.folder.join(format!("{name}.log"))).expect("a log file");
+        let log = self.folder.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(log).expect("a log file");
         let mut command = Command::new(PROGRAM);
         command.arg(role).env_clear().env("GOLDCRESTPITCH_SETTINGS", &file);
         command.stdin(Stdio::null()).stderr(log.try_clone().unwrap()).stdout(log);
@@ -197,19 +214,16 @@
         self.spawn("engine-agent", &format!("side-{index}"), settings);
     }
 
-    /// Stops a gateway as the platform does and starts it again.
-    pub fn restart_gateway(&self, index: usize) {
-        let name = format!("edge-{index}");
-        self.signal(&name, "TERM");
-        let mut children = self.children.lock().unwrap();
-        let position = children.iter().position(|(n, _)| *n == name).unwrap();
-        let (_, mut child) = children.remove(position);
-        drop(children);
-        let _ = child.wait();
-        let file = self.folder.join(format!("{name}.ini"));
-        let settings = fs::read_to_string(file).unwrap();
-        let settings = settings.replace("first_start = true", "first_start = false");
-        self.spawn("gateway", &name, settings);
+    /// The final fault of a day: all processes are killed, and start again later.
+    pub fn kill_all(&self, down: Duration) {
+        self.record.say("all processes get SIGKILL");
+        end_all(&self.children);
+        self.children.lock().unwrap().clear();
+        thread::sleep(down);
+        let programs = self.programs.lock().unwrap().clone();
+        for (role, name, settings) in programs {
+            self.spawn(&role, &name, settings);
+        }
     }
 
     fn store_address(&self) -> SocketAddr {
