--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -69,6 +69,10 @@
         // Without the final fault.
         "polled-page-crash-only" => polled_page(record, trouble, false),
         "frozen-agent" => frozen_agent(record, trouble),
+        // An entry of KNOWN-RED.txt: requests that crash engines share a part with sound ones.
+        "crashing-prompts" => crashing_prompts(record, trouble, false),
+        // The same after the part was sound and all processes were killed.
+        "crashing-prompts-after-restart" => crashing_prompts(record, trouble, true),
         other => panic!("no case {other}"),
     }
 }
@@ -512,3 +516,66 @@
     fleet.quote_logs(&["event=order ", "event=endpoint_", "event=agent_"], 200);
     judge_recovery(record, &clients, (began, fault), (judged_from, judged_until))
 }
+
+// ---- An entry of KNOWN-RED.txt: sound requests beside some that crash engines -----------------
+
+fn crashing_prompts(record: &Arc<Record>, trouble: bool, restart: bool) -> Option<String> {
+    const ENGINES: usize = 6;
+    const SHARED: &str = "5c1e07a3:155";
+    let mut fleet = Fleet::new(record);
+    let specs: Vec<Spec> = (0..ENGINES).map(|i| engine_spec(&fleet, i, 1)).collect();
+    let engines: Vec<Arc<Engine>> =
+        specs.iter().map(|s| fleet.engine(s.clone(), Box::new(never_late))).collect();
+    fleet.configure(7, &[STREAMS], &[(LLM, 630, Some(&specs[0]))]);
+    for (i, engine) in engines.iter().enumerate() {
+        engine.start(&MODELS[..1]);
+        fleet.start_agent(i, LLM);
+    }
+    fleet.start_gateways(2);
+    // An engine that has crashed is back two seconds later.
+    for engine in engines {
+        thread::spawn(move || loop {
+            sleep(0.1);
+            if !engine.is_up() {
+                sleep(2.0);
+                engine.start(&[]);
+            }
+        });
+    }
+    let clients = Clients::new(record, &fleet.gateways);
+    sleep(2.0);
+    let sound = stream_kind("sound", |n| brief(n, MODELS[0], SHARED));
+    if restart {
+        for _ in 0..20 {
+            clients.send(&sound);
+            sleep(0.2);
+        }
+        sleep(2.0);
+        fleet.kill_all(ms(900));
+        sleep(2.0);
+    }
+    // Two requests crash each engine that begins to run them, and come again.
+    for _ in 0..8 {
+        for part in ["dead0", "dead1"].into_iter().filter(|_| trouble) {
+            let kind = stream_kind("crashing", move |_| {
+                let mut headers = brief(0, MODELS[0], SHARED);
+                headers[2].1 = format!("{SHARED},{part}:491");
+                headers
+            });
+            clients.send(&kind);
+            sleep(1.0);
+        }
+    }
+    sleep(12.0);
+    let from = record.seconds();
+    clients.send_steadily(sound, 5.0, || false);
+    sleep(30.0);
+    let until = record.seconds();
+    sleep(2.0);
+    clients.stop();
+    let (sent, served) = clients.served(from, until);
+    let statuses = clients.statuses(from, until);
+    record.say(&format!("sound requests: sent {sent}, served {served}, by status {statuses}"));
+    fleet.quote_logs(&["event=endpoint_crashed", "event=suspect"], 100);
+    (4 * served < sent).then(|| format!("of {sent} sound requests {served} were served"))
+}
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -58,6 +58,9 @@
     pub expects_instance: Option<String>,
 }
 
+/// A request whose prompt has such a part of its own crashes each engine that begins to run it.
+pub const CRASHING_PART: &str = ",dead";
+
 /// Decides which orders get no answer and are carried out later, and by how much.
 pub type LateOrders = dyn Fn(&Order) -> Option<Duration> + Send + Sync;
 
@@ -173,6 +176,10 @@
         self.store.remove(&id);
     }
 
+    pub fn is_up(&self) -> bool {
+        self.lock().up
+    }
+
     pub fn loading(&self) -> Option<String> {
         self.lock().loading.as_ref().map(|(model, _)| model.clone())
     }
@@ -492,6 +499,12 @@
             req.target,
             req.header("X-Model").unwrap_or("")
         ));
+        if req.header("X-Prompt-Prefix").is_some_and(|p| p.contains(CRASHING_PART)) {
+            thread::sleep(Duration::from_millis(100));
+            self.lock().runs.remove(&run);
+            self.crash();
+            return Err(io::Error::other("crashed"));
+        }
         let result = self.answer(out, life, run, echo);
         self.lock().runs.remove(&run);
         result
