Log why a refused request was not the trial of a blamed segment

Cause looked for: review/2 (RECOVER) is refused for good, and no line told whether nobody may be the trial, the blame is renewed, or the store gives it back without what was sound. Change: `trial=` in `refused`, with the reason that decided.

--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -11,6 +11,7 @@
 mod segment_history;
 mod segment_use;
 mod suspect;
+mod trial;
 
 pub use crash_history::{CrashHistory, Verdict};
 pub use registry::{AttemptEnd, Permit, QuarantineRegistry};
@@ -18,3 +19,4 @@
 pub use run_gate::RunGate;
 pub use segment_history::SegmentHistory;
 pub use suspect::{CrashReport, RequestKey, Suspect};
+pub use trial::Trial;
--- a/src/core/quarantine/run_permit.rs
+++ b/src/core/quarantine/run_permit.rs
@@ -5,7 +5,7 @@
 use crate::core::{
     ids::{CrashId, Fingerprint, SegmentId},
     quarantine::{
-        RequestKey, RunGate, RunPermit, Verdict,
+        RequestKey, RunGate, RunPermit, Trial, Verdict,
         run::{Run, RunState},
     },
 };
@@ -21,7 +21,7 @@
     ) -> RunPermit {
         let request = request.into();
         let fingerprint = request.fingerprint;
-        if self.has_blamed_segment(now, segments) {
+        if self.trial(now, segments).is_some_and(|trial| trial != Trial::Due) {
             return RunPermit::Quarantined;
         }
         if self.history.is_excused(request) {
@@ -74,27 +74,25 @@
         self.history.limit() <= unexplained + self.unconfirmed_crashes(now, fingerprint) + 1
     }
 
-    /// Whether one of the segments is blamed and the request may not try it either.
-    fn has_blamed_segment(&self, now: Instant, segments: &[SegmentId]) -> bool {
-        let mut blamed = segments.iter().copied().filter(|s| self.segments.is_blamed(*s));
-        blamed.next().is_some_and(|first| !self.may_try(now, first, segments))
-    }
-
     /// Whether a request with these segments may show that the blamed one was blamed
-    /// wrongly. Only one process and one run at a time do so, and the crash of the run must
-    /// have no other likely cause.
-    fn may_try(&self, now: Instant, blamed: SegmentId, segments: &[SegmentId]) -> bool {
-        if !self.owns(blamed) || !self.segments.may_try(now, blamed) {
-            return false;
-        }
+    /// wrongly; `None` if none is blamed. Only one process and one run at a time do so, and
+    /// the crash of the run must have no other likely cause.
+    pub fn trial(&self, now: Instant, segments: &[SegmentId]) -> Option<Trial> {
+        let mut all_blamed = segments.iter().copied().filter(|s| self.segments.is_blamed(*s));
+        let blamed = all_blamed.next()?;
         let crashes = self.segments.crashes(blamed);
         let is_likelier = |s: SegmentId| s != blamed && crashes <= self.segments.crashes(s);
         let is_trial = |r: &Run| {
             let is_undecided = r.is_unresolved() || (r.is_active() && r.is_beginning(now));
             is_undecided && r.segments.contains(&blamed)
         };
-        !segments.iter().any(|s| is_likelier(*s) || (*s != blamed && self.segments.is_blamed(*s)))
-            && !self.runs.values().any(is_trial)
+        Some(match self.segments.trial(now, blamed) {
+            Trial::Due if !self.owns(blamed) => Trial::Elsewhere,
+            Trial::Due if segments.iter().any(|s| is_likelier(*s)) => Trial::OtherSuspect,
+            Trial::Due if all_blamed.any(|s| s != blamed) => Trial::OtherSuspect,
+            Trial::Due if self.runs.values().any(is_trial) => Trial::Running,
+            trial => trial,
+        })
     }
 
     /// Possible crashes during interrupted runs of the request, apart from those of
--- a/src/core/quarantine/segment_history.rs
+++ b/src/core/quarantine/segment_history.rs
@@ -9,7 +9,7 @@
 use crate::core::{
     ids::{CrashId, SegmentId},
     quarantine::{
-        CrashReport, Suspect,
+        CrashReport, Suspect, Trial,
         blame::{Blame, Candidate},
         crash_set::CrashSet,
         segment_use::SegmentUse,
@@ -127,9 +127,12 @@
 
     /// Whether a blamed segment may run once to show whether it was blamed wrongly, which
     /// one process may decide.
-    pub fn may_try(&self, now: Instant, segment: SegmentId) -> bool {
-        let Some(record) = self.records.get(&segment) else { return false };
-        self.is_sound(segment) && record.may_try(now)
+    pub fn trial(&self, now: Instant, segment: SegmentId) -> Trial {
+        match self.records.get(&segment) {
+            Some(_) if !self.is_sound(segment) => Trial::NeverSound,
+            Some(record) if record.may_try(now) => Trial::Due,
+            _ => Trial::Paused,
+        }
     }
 
     /// Records the start of a run with the segment.
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -17,7 +17,7 @@
         forwarding::{Requirements, Route, RouteKind, ServiceName, TimeLimit},
         hash,
         ids::{EndpointId, Fingerprint, StreamId},
-        quarantine::{RequestKey, RunEnd},
+        quarantine::{RequestKey, RunEnd, Trial},
         resumption::StreamVersion,
     },
     errors::{Code, Refusal},
@@ -273,10 +273,12 @@
         counter!(names::REFUSALS, "code" => refusal.code.name()).increment(1);
         let (suspect, crashes, own) = self.likeliest_suspect();
         info!(
-            "event=refused id={} fingerprint={:016x} suspect={suspect} crashes={crashes} {own} code={} \
+            "event=refused id={} fingerprint={:016x} suspect={suspect} crashes={crashes} {own} \
+             trial={} code={} \
              outcome={} retry_after_ms={} version={} why=\"{}\"",
             self.id(),
             self.key.fingerprint,
+            self.trial().map_or("-", Trial::as_str),
             refusal.code.number(),
             refusal.outcome.as_str(),
             refusal.retry_after.map_or(0, |d| d.as_millis()),
@@ -298,6 +300,12 @@
         (Label(suspect), crashes.unwrap_or(0), own)
     }
 
+    /// Whether a run of the request may try a blamed segment of its prompt, for the log.
+    fn trial(&self) -> Option<Trial> {
+        let segments = self.requirements.leading_segments();
+        self.shared.lock().gate.trial(Instant::now(), &segments)
+    }
+
     /// Logs the chosen endpoint with the load figures behind the choice.
     pub(super) fn log_sent(&self, endpoint: &EndpointId) {
         let now = Instant::now();
