Try blamed segments that never come alone, where such requests arrive

Cause: the run that could prove a blame wrong was never allowed. Its crash had to have one likely cause, and segments that always come together have the same crashes; and only the gateway that owns the segment ran it, also where no caller used that gateway. Change: a request with several suspects, all of them sound before, is tried later than one with a single suspect, and one such trial may crash. Gateways exchange claims on suspects for which they refuse requests; the first that claims one tries. Requests at the limit whose crashes others explain follow the claims too, instead of waiting for a gateway that nobody asks.

--- a/src/core/quarantine/mod.rs
+++ b/src/core/quarantine/mod.rs
@@ -12,6 +12,7 @@
 mod segment_use;
 mod suspect;
 mod trial;
+mod trial_claims;
 
 pub use crash_history::{CrashHistory, Verdict};
 pub use registry::{AttemptEnd, Permit, QuarantineRegistry};
--- a/src/core/quarantine/run_gate.rs
+++ b/src/core/quarantine/run_gate.rs
@@ -12,6 +12,7 @@
         CrashHistory, CrashReport, RequestKey, RunEnd, RunId, RunOutcome, RunPermit,
         SegmentHistory, Suspect,
         run::{Run, RunState},
+        trial_claims::TrialClaims,
     },
 };
 
@@ -42,9 +43,8 @@
     pub(super) history: CrashHistory,
     pub(super) segments: SegmentHistory,
     pub(super) runs: HashMap<RunId, Run>,
+    pub(super) claims: TrialClaims,
     next_run: RunId,
-    // Position of this process among the live ones, and their number.
-    position: (usize, usize),
 }
 
 impl RunGate {
@@ -55,8 +55,8 @@
             history: CrashHistory::new(limit),
             segments: SegmentHistory::new(segment_limit),
             runs: HashMap::new(),
+            claims: TrialClaims::default(),
             next_run: 0,
-            position: (0, 1),
         }
     }
 
@@ -70,10 +70,21 @@
         &self.segments
     }
 
-    /// Sets the position of this process among `count` live ones. Each request has one of
-    /// them that reports it for all, and in which alone it runs once it is at the limit.
+    /// Sets the position of this process among `count` live ones. Each suspect has one of
+    /// them that reports it for all, and in which its trials run if requests reach it there.
     pub fn set_position(&mut self, position: usize, count: usize) {
-        self.position = (position, count.max(1));
+        self.claims.set_position(position, count);
+    }
+
+    /// The suspects that refused requests have named here recently, the latest first: trials
+    /// may run here while no process before this one claims them too.
+    pub fn claims(&self, now: Instant) -> Vec<u64> {
+        self.claims.current(now)
+    }
+
+    /// Sets what other processes claim, by their position.
+    pub fn set_other_claims(&mut self, others: Vec<(usize, HashSet<u64>)>) {
+        self.claims.set_others(others);
     }
 
     /// Reports to repeat to the other processes: of crashes seen here within `repeat_for`,
@@ -86,14 +97,14 @@
     ) -> Vec<CrashReport> {
         self.reports(|id, crashes, seen_here| {
             seen_here.is_some_and(|at| now < at + repeat_for)
-                || (min_crashes <= crashes && self.owns(id))
+                || (min_crashes <= crashes && self.claims.owns(id))
         })
     }
 
     /// Reports for a process that may have missed any: of crashes seen here, and of the
     /// suspects that this process reports for all.
     pub fn all_reports(&self) -> Vec<CrashReport> {
-        self.reports(|id, _, seen_here| seen_here.is_some() || self.owns(id))
+        self.reports(|id, _, seen_here| seen_here.is_some() || self.claims.owns(id))
     }
 
     /// The report on one suspect.
@@ -125,7 +136,7 @@
     }
 
     /// Keeps a refused request and its segments from being forgotten while such requests
-    /// come again and again.
+    /// come again and again, and claims their trials.
     pub fn record_refusal(
         &mut self,
         now: Instant,
@@ -136,6 +147,17 @@
         for segment in segments {
             self.segments.record_refusal(now, *segment);
         }
+        self.claim(now, fingerprint, segments);
+    }
+
+    /// Claims the trials of a request that waits for its permit, and of its segments.
+    pub fn claim(&mut self, now: Instant, fingerprint: Fingerprint, segments: &[SegmentId]) {
+        if self.history.limit() <= self.history.crashes(fingerprint) {
+            self.claims.record(now, fingerprint);
+        }
+        for segment in segments.iter().filter(|s| self.segments.is_blamed(**s)) {
+            self.claims.record(now, *segment);
+        }
     }
 
     /// Number of requests and segments that are quarantined.
@@ -180,6 +202,7 @@
         run.suspected_segments = self.with_crashes(&run.segments);
         run.known_crashes = self.history.crash_ids(fingerprint);
         run.last_chance = self.is_last_chance(now, fingerprint);
+        self.claim(now, fingerprint, &run.segments);
         self.next_run += 1;
         self.runs.insert(self.next_run, run);
         Ok(self.next_run)
@@ -276,6 +299,8 @@
         let segments = self.segments.expire(now).into_iter().map(Suspect::Segment);
         let expired = requests.chain(segments).collect();
         self.update_explained();
+        let (history, segments) = (&self.history, &self.segments);
+        self.claims.retain(|id| 0 < history.crashes(id) + segments.crashes(id));
         expired
     }
 
@@ -287,11 +312,6 @@
         (0..count).flat_map(|_| [segments.next(), requests.next()]).flatten().collect()
     }
 
-    pub(super) fn owns(&self, id: u64) -> bool {
-        let (position, count) = self.position;
-        id % count as u64 == position as u64
-    }
-
     /// Counts a crash against the requests that ran at the endpoint and against the
     /// segments of those that had just begun.
     fn count_crash(&mut self, now: Instant, crash: CrashId) -> Vec<Suspect> {
--- a/src/core/quarantine/run_permit.rs
+++ b/src/core/quarantine/run_permit.rs
@@ -35,7 +35,9 @@
         let limit = self.history.limit();
         if limit <= self.history.crashes(fingerprint) {
             // Other suspects explain the crashes, or it goes first: one run at a time.
-            return match self.owns(fingerprint) && !self.has_undecided_run(fingerprint) {
+            return match self.claims.may_try(now, fingerprint)
+                && !self.has_undecided_run(fingerprint)
+            {
                 true => self.permit_beside_others(now, fingerprint),
                 false => RunPermit::Wait,
             };
@@ -74,24 +76,32 @@
         self.history.limit() <= unexplained + self.unconfirmed_crashes(now, fingerprint) + 1
     }
 
-    /// Whether a request with these segments may show that the blamed one was blamed
-    /// wrongly; `None` if none is blamed. Only one process and one run at a time do so, and
-    /// the crash of the run must have no other likely cause.
+    /// Whether a request with these segments may show that blamed ones were blamed wrongly;
+    /// `None` if none is blamed. Only one process and one run at a time do so. If the crash of
+    /// the run would have several likely causes, it waits longer, for a request with only one
+    /// of them.
     pub fn trial(&self, now: Instant, segments: &[SegmentId]) -> Option<Trial> {
-        let mut all_blamed = segments.iter().copied().filter(|s| self.segments.is_blamed(*s));
-        let blamed = all_blamed.next()?;
-        let crashes = self.segments.crashes(blamed);
-        let is_likelier = |s: SegmentId| s != blamed && crashes <= self.segments.crashes(s);
+        let blamed: Vec<SegmentId> =
+            segments.iter().copied().filter(|s| self.segments.is_blamed(*s)).collect();
+        let first = *blamed.iter().min()?;
+        let crashes = self.segments.crashes(first);
+        let mut suspects = segments.to_vec();
+        suspects.retain(|s| blamed.contains(s) || crashes <= self.segments.crashes(*s));
+        suspects.sort_unstable();
+        suspects.dedup();
+        let is_alone = suspects.len() == 1;
+        let trials = suspects.iter().map(|s| self.segments.trial(now, *s, is_alone));
+        if let Some(obstacle) = trials.into_iter().find(|trial| *trial != Trial::Due) {
+            return Some(obstacle);
+        }
         let is_trial = |r: &Run| {
             let is_undecided = r.is_unresolved() || (r.is_active() && r.is_beginning(now));
-            is_undecided && r.segments.contains(&blamed)
+            is_undecided && r.segments.iter().any(|s| blamed.contains(s))
         };
-        Some(match self.segments.trial(now, blamed) {
-            Trial::Due if !self.owns(blamed) => Trial::Elsewhere,
-            Trial::Due if segments.iter().any(|s| is_likelier(*s)) => Trial::OtherSuspect,
-            Trial::Due if all_blamed.any(|s| s != blamed) => Trial::OtherSuspect,
-            Trial::Due if self.runs.values().any(is_trial) => Trial::Running,
-            trial => trial,
+        Some(match self.claims.may_try(now, first) {
+            false => Trial::Elsewhere,
+            true if self.runs.values().any(is_trial) => Trial::Running,
+            true => Trial::Due,
         })
     }
 
--- a/src/core/quarantine/segment_history.rs
+++ b/src/core/quarantine/segment_history.rs
@@ -31,12 +31,17 @@
 /// the crashes of earlier runs are known, by a check that takes up to 600 ms and a datagram
 /// that is repeated after 800 ms.
 const TRIAL_DELAY: Duration = Duration::from_millis(1500);
+/// The same for a request with several suspects: one with a single suspect goes first, since its
+/// crash would have a certain cause.
+const JOINT_TRIAL_DELAY: Duration = Duration::from_millis(3000);
 /// A crash that becomes known this long after the blame is taken for that of a trial. Other
 /// processes may blame a segment somewhat later than the one that tries it.
 const TRIAL_CRASH_DELAY: Duration = Duration::from_millis(700);
 /// Trials that may crash in a row. With the next one after [`FORGET_AFTER`], there are as
 /// many as the platform's rules allow.
 const EARLY_TRIALS: usize = 2;
+/// The same for requests with several suspects. One is left for a request with a single one.
+const EARLY_JOINT_TRIALS: usize = 1;
 
 #[derive(Clone, Debug)]
 struct SegmentRecord {
@@ -125,12 +130,12 @@
         std::mem::take(&mut self.explained_changed).then(|| self.blame.explained.clone())
     }
 
-    /// Whether a blamed segment may run once to show whether it was blamed wrongly, which
-    /// one process may decide.
-    pub fn trial(&self, now: Instant, segment: SegmentId) -> Trial {
+    /// Whether a suspect may run once to show whether segments were blamed wrongly, which one
+    /// process may decide: alone, or with others that are as likely to cause a crash.
+    pub fn trial(&self, now: Instant, segment: SegmentId, is_alone: bool) -> Trial {
         match self.records.get(&segment) {
             Some(_) if !self.is_sound(segment) => Trial::NeverSound,
-            Some(record) if record.may_try(now) => Trial::Due,
+            Some(record) if record.may_try(now, is_alone) => Trial::Due,
             _ => Trial::Paused,
         }
     }
@@ -365,13 +370,17 @@
         }
     }
 
-    fn may_try(&self, now: Instant) -> bool {
+    fn may_try(&self, now: Instant, is_alone: bool) -> bool {
+        let (delay, early_trials) = match is_alone {
+            true => (TRIAL_DELAY, EARLY_TRIALS),
+            false => (JOINT_TRIAL_DELAY, EARLY_JOINT_TRIALS),
+        };
         let pause = match self.crashed_trials {
-            0..EARLY_TRIALS => TRIAL_DELAY,
-            EARLY_TRIALS => FORGET_AFTER,
+            trials if trials < early_trials => delay,
+            ..=EARLY_TRIALS => FORGET_AFTER,
             _ => return false,
         };
-        let settled = self.blamed_at.is_some_and(|at| at + TRIAL_DELAY <= now);
+        let settled = self.blamed_at.is_none_or(|at| at + delay <= now);
         settled && self.last_crash + pause <= now
     }
 }
--- a/src/core/quarantine/trial.rs
+++ b/src/core/quarantine/trial.rs
@@ -5,14 +5,12 @@
 pub enum Trial {
     /// It may run.
     Due,
-    /// It must not: no run of the suspect was sound, as far as this process knows.
+    /// It must not: no run of a suspect was sound, as far as this process knows.
     NeverSound,
-    /// Not yet: the suspect was blamed or crashed an endpoint recently, or trials have crashed.
+    /// Not yet: a suspect was blamed or crashed an endpoint recently, or trials have crashed.
     Paused,
     /// Not here: another process runs the trials of the suspect.
     Elsewhere,
-    /// It must not: its crash would have another likely cause.
-    OtherSuspect,
     /// Not now: another trial of the suspect has not ended.
     Running,
 }
@@ -25,7 +23,6 @@
             Self::NeverSound => "never_sound",
             Self::Paused => "paused",
             Self::Elsewhere => "elsewhere",
-            Self::OtherSuspect => "other_suspect",
             Self::Running => "running",
         }
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,7 +5,7 @@
 //! and unload models and adapters.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::{IpAddr, SocketAddr},
     sync::Arc,
     time::{Duration, Instant},
@@ -32,7 +32,7 @@
     },
     gossip::{
         Body, ChangeKind, Demand, EngineLoad, EngineStatus, GatewayStatus, Hello, ResidencyChange,
-        Socket, rotating_subset,
+        Socket, TrialClaims, rotating_subset,
     },
     telemetry::names,
 };
@@ -78,6 +78,8 @@
     serving: bool,
     zone: String,
     demand: Vec<Demand>,
+    // Suspects whose trials it claims, and when it last said so.
+    claims: Option<(Instant, HashSet<u64>)>,
 }
 
 /// Sends and receives gossip until the process ends.
@@ -142,6 +144,7 @@
                 serving: false,
                 zone: String::new(),
                 demand: Vec::new(),
+                claims: None,
             };
             self.gateways.entry(address).or_insert_with(new).last_listed = now;
         }
@@ -184,6 +187,12 @@
             Body::CrashReports(reports) => crash_reports::receive(shared, from, reports),
             Body::LimitReports(reports) => limits::receive(shared, from, reports),
             Body::Streams(message) => streams::receive(shared, socket, from, message),
+            Body::TrialClaims(claims) => {
+                if let Some(peer) = self.gateways.get_mut(&from) {
+                    peer.claims = Some((now, claims.suspects.into_iter().collect()));
+                    self.update_position(&mut shared.lock(), now, own);
+                }
+            }
             Body::Hello(_) => {}
         }
     }
@@ -274,9 +283,7 @@
         let recently_started = now < self.started + shared.bounds().retry_window;
         let others = if recently_started { live.max(self.other_seeds) } else { live };
         state.dispatcher.set_processes(1 + others);
-        let (position, count) = self.position(now, own, state.dispatcher.locality());
-        state.dispatcher.set_subset(EndpointSubset::new(position, count));
-        state.gate.set_position(position, count);
+        let position = self.update_position(&mut state, now, own);
         // One gateway deletes what all have forgotten.
         let mut forgotten = state.gate.expire(now);
         forgotten.retain(|suspect| position == 0 && state.record_change(*suspect));
@@ -298,14 +305,27 @@
         self.gateways.iter().filter(move |(_, peer)| is_live(peer))
     }
 
-    /// The position of this gateway among the live gateways that accept requests, ordered
-    /// by region, zone and address, and their number.
-    fn position(&self, now: Instant, own: SocketAddr, locality: &Locality) -> (usize, usize) {
-        let here = (locality.sort_key(&locality.zone), own);
+    /// Updates what depends on the position of this gateway among the live gateways that accept
+    /// requests, ordered by region, zone and address. Returns the position.
+    fn update_position(&self, state: &mut shared::State, now: Instant, own: SocketAddr) -> usize {
+        let locality = state.dispatcher.locality();
         let others = self.live_gateways(now).filter(|(_, peer)| peer.serving);
-        let before =
-            others.clone().filter(|(a, peer)| (locality.sort_key(&peer.zone), **a) < here).count();
-        (before, others.count() + 1)
+        let mut ordered: Vec<_> = others
+            .map(|(a, peer)| (locality.sort_key(&peer.zone), *a, peer.claims.as_ref()))
+            .chain([(locality.sort_key(&locality.zone), own, None)])
+            .collect();
+        ordered.sort_unstable_by(|a, b| (&a.0, a.1).cmp(&(&b.0, b.1)));
+        let position = ordered.iter().position(|(_, a, _)| *a == own).unwrap_or(0);
+        let count = ordered.len();
+        let claims = ordered.into_iter().enumerate().filter_map(|(position, (.., claims))| {
+            let (at, suspects) = claims?;
+            (now < *at + PEER_TIMEOUT).then(|| (position, suspects.clone()))
+        });
+        let claims = claims.collect();
+        state.dispatcher.set_subset(EndpointSubset::new(position, count));
+        state.gate.set_position(position, count);
+        state.gate.set_other_claims(claims);
+        position
     }
 
     /// Whether this gateway plans placement: among the live gateways that accept
@@ -319,12 +339,13 @@
     fn send_to_gateways(&mut self, shared: &SharedState, socket: &Socket, at_once: bool) {
         let now = Instant::now();
         let serving = shared.is_ready();
-        let (reports, limits, demand, zone, share) = {
+        let (reports, limits, demand, zone, share, claims) = {
             let state = shared.lock();
             let reports = self.crash_reporter.take_due(now, &state.gate);
             let zone = state.dispatcher.locality().zone.to_string();
             let demand = planner::own_demand(now, &state);
-            (reports, state.limit_reports(now), demand, zone, state.retry_share.report())
+            let claims = state.gate.claims(now);
+            (reports, state.limit_reports(now), demand, zone, state.retry_share.report(), claims)
         };
         let broadcast = at_once || self.is_broadcast_due(now);
         if broadcast {
@@ -350,6 +371,10 @@
             for reports in reports.for_peer(address, broadcast) {
                 socket.send(*address, Body::CrashReports(reports.clone()));
             }
+            if broadcast && !claims.is_empty() {
+                let claims = TrialClaims { suspects: claims.clone() };
+                socket.send(*address, Body::TrialClaims(claims));
+            }
         }
         self.repeat_streams(shared, socket, broadcast);
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -135,7 +135,14 @@
         loop {
             let changed = self.shared.runs_changed.notified();
             let now = Instant::now();
-            let permit = self.shared.lock().gate.permit(now, self.key, &segments);
+            let permit = {
+                let gate = &mut self.shared.lock().gate;
+                let permit = gate.permit(now, self.key, &segments);
+                if permit == RunPermit::Wait {
+                    gate.claim(now, self.key.fingerprint, &segments);
+                }
+                permit
+            };
             match permit {
                 RunPermit::Allowed => return Ok(()),
                 RunPermit::Quarantined => return Err(self.quarantined()),
@@ -153,8 +160,13 @@
         let mut state = self.shared.lock();
         let target = state.run_target(endpoint, address);
         let now = Instant::now();
+        let is_trial = state.gate.trial(now, &segments).is_some();
         let run = state.gate.start(now, self.key, &segments, target.crash).ok()?;
         drop(state);
+        if is_trial {
+            // Others learn that this gateway claims the trials.
+            self.shared.peer_update_due.notify_one();
+        }
         let shared = self.shared.clone();
         Some(RunGuard { shared, run, target, last_response: None, ended: false })
     }
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
     /// The message; absent when its kind is unknown to this version.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub body: Option<Body>,
 }
 
@@ -48,6 +48,9 @@
     /// From a gateway to another gateway.
     #[prost(message, tag = "7")]
     Streams(Streams),
+    /// From a gateway to another gateway.
+    #[prost(message, tag = "8")]
+    TrialClaims(TrialClaims),
 }
 
 /// Announces a gateway to an engine agent, with the changes that it requests there.
@@ -330,6 +333,14 @@
     }
 }
 
+/// Suspects of crashes whose trials the sender could run, since requests with them reach it.
+#[derive(Clone, PartialEq, Message)]
+pub struct TrialClaims {
+    /// Fingerprints of requests and ids of segments.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub suspects: Vec<u64>,
+}
+
 /// The crashes of endpoints that one suspect may have caused.
 #[derive(Clone, PartialEq, Message)]
 pub struct CrashReport {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -12,6 +12,7 @@
 pub use messages::{
     Body, CachedRecord, CachedRecords, ChangeKind, CrashReport, CrashReports, Datagram, Demand,
     EngineLoad, EngineStatus, GatewayStatus, Hello, LoadedModel, ResidencyChange, SuspectKind,
+    TrialClaims,
 };
 pub use socket::{MAX_DATAGRAM_BYTES, Socket, rotating_subset};
 pub use streams::{OriginKind, StreamOrigin, Streams};
--- a/tests/crashing_fleet/fleet.rs
+++ b/tests/crashing_fleet/fleet.rs
@@ -11,13 +11,15 @@
     STABLE_WINDOW_MS,
     gateway::{Endpoint, Gateway, Run, Trouble},
     outcome::{Attempt, Crash, Outcome, Refusal, Send},
-    workload::{Causes, Repeat, Request, Workload},
+    workload::{Causes, Fault, Repeat, Request, Workload},
 };
 
 const STEP_MS: u64 = 10;
 /// Rate of each trouble and of crashes for other reasons, per second.
 const TROUBLES_PER_S: f64 = 0.15;
 const OTHER_CRASHES_PER_S: f64 = 0.4;
+/// How long killed gateways are down.
+const KILL_MS: u64 = 900;
 /// Longest wait of a request for its permit.
 const MAX_PERMIT_WAIT_MS: u64 = 2_000;
 
@@ -117,6 +119,13 @@
 
     fn disturb(&mut self) {
         let (now, count) = (self.now, self.gateways.len());
+        match self.workload.fault(now) {
+            Some(Fault::CrashEndpoints { count, down_ms }) => {
+                (0..count.min(self.endpoints.len())).for_each(|e| self.crash_for(e, down_ms));
+            }
+            Some(Fault::KillGateways) => (0..count).for_each(|g| self.stop(g, now + KILL_MS)),
+            None => {}
+        }
         if self.trouble.other_crashes && happens(&mut self.rng, OTHER_CRASHES_PER_S) {
             let endpoint = self.rng.usize(..self.endpoints.len());
             self.crash(endpoint);
@@ -155,8 +164,8 @@
 
     /// A caller's request arrives at any gateway that runs.
     fn arrive(&mut self, mut request: Request) {
-        let up: Vec<usize> =
-            (0..self.gateways.len()).filter(|g| self.gateways[*g].runs_now(self.now)).collect();
+        let used = self.gateways.len().min(self.workload.used_gateways());
+        let up: Vec<usize> = (0..used).filter(|g| self.gateways[*g].runs_now(self.now)).collect();
         if up.is_empty() {
             return;
         }
@@ -192,7 +201,15 @@
         let Endpoint { start, down_until } = self.endpoints[endpoint];
         let segments = self.workload.passed_segments(&request);
         let gate = &mut self.gateways[gateway].gate;
-        match gate.start(at, request.fingerprint, segments, crash_id(endpoint, start)) {
+        let is_trial = gate.trial(at, segments).is_some();
+        let started = gate.start(at, request.fingerprint, segments, crash_id(endpoint, start));
+        match started {
+            Err(RunPermit::Wait) => gate.claim(at, request.fingerprint, segments),
+            Err(_) => gate.record_refusal(at, request.fingerprint, segments),
+            Ok(_) if is_trial => self.gateways[gateway].next_broadcast = now,
+            Ok(_) => {}
+        }
+        match started {
             Err(RunPermit::Wait) if waited_ms < MAX_PERMIT_WAIT_MS => {
                 let interval = W::LIMITS.permit_interval_ms;
                 let (at, waited_ms) = (now + interval, waited_ms + interval);
@@ -257,15 +274,19 @@
     }
 
     fn crash(&mut self, endpoint: usize) {
-        let down = self.rng.u64(1500..4000);
+        let down_ms = self.rng.u64(1500..4000);
+        self.crash_for(endpoint, down_ms);
+    }
+
+    fn crash_for(&mut self, endpoint: usize, down_ms: u64) {
         let state = &mut self.endpoints[endpoint];
         if self.now < state.down_until {
             return;
         }
         let old = state.start;
-        *state = Endpoint { start: old + 1, down_until: self.now + down };
+        *state = Endpoint { start: old + 1, down_until: self.now + down_ms };
         for gateway in &mut self.gateways {
-            let known_at = self.now + down + self.rng.u64(100..2000);
+            let known_at = self.now + down_ms + self.rng.u64(100..2000);
             gateway.restarts.push((known_at, endpoint, old));
         }
     }
--- a/tests/crashing_fleet/gateway.rs
+++ b/tests/crashing_fleet/gateway.rs
@@ -1,7 +1,7 @@
 //! One gateway of the fleet with its runs, checks and messages, and the troubles that may
 //! disturb it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 
 use goldcrestpitch::core::quarantine::{CrashReport, RunGate, RunId};
 
@@ -52,6 +52,10 @@
     pub runs: Vec<Run>,
     pub checks: BTreeMap<u64, Check>,
     pub inbox: Vec<(u64, CrashReport)>,
+    /// Claims of other gateways that are on their way: arrival, sender, suspects.
+    pub claims_inbox: Vec<(u64, usize, Vec<u64>)>,
+    /// The last claims of each other gateway, and when they arrived.
+    pub claims: HashMap<usize, (u64, Vec<u64>)>,
     pub restarts: Vec<(u64, usize, u64)>,
     pub stopped_until: u64,
     pub frozen_until: u64,
@@ -70,6 +74,8 @@
             runs: Vec::new(),
             checks: BTreeMap::new(),
             inbox: Vec::new(),
+            claims_inbox: Vec::new(),
+            claims: HashMap::new(),
             restarts: Vec::new(),
             stopped_until: 0,
             frozen_until: 0,
--- a/tests/crashing_fleet/main.rs
+++ b/tests/crashing_fleet/main.rs
@@ -14,6 +14,7 @@
 mod segment_plan;
 mod segments;
 mod steps;
+mod unrelated_crashes;
 mod workload;
 
 const SCHEDULES: u64 = 10_000;
--- a/tests/crashing_fleet/steps.rs
+++ b/tests/crashing_fleet/steps.rs
@@ -14,6 +14,8 @@
 const BROADCAST_MS: u64 = 800;
 const REPEAT_FOR: Duration = Duration::from_secs(5);
 const CHECK_DELAY_MS: u64 = 100;
+/// A gateway without a message for this long no longer counts as live.
+const PEER_TIMEOUT_MS: u64 = 2_000;
 const EXPIRY_MS: u64 = 400;
 
 impl<W: Workload> Fleet<W> {
@@ -21,9 +23,19 @@
         let (now, at) = (self.now, self.instant());
         let alone = self.gateways[index].cut_until > now;
         let is_live = |g: usize| g == index || (!alone && self.gateways[g].is_connected(now));
-        let position = (0..index).filter(|g| is_live(*g)).count();
-        let count = (0..self.gateways.len()).filter(|g| is_live(*g)).count();
-        self.gateways[index].gate.set_position(position, count);
+        let live: Vec<usize> = (0..self.gateways.len()).filter(|g| is_live(*g)).collect();
+        let place = |gateway: usize| live.iter().position(|g| *g == gateway);
+        let gateway = &mut self.gateways[index];
+        for (at, sender, claims) in gateway.claims_inbox.extract_if(.., |m| m.0 <= now) {
+            gateway.claims.insert(sender, (at, claims));
+        }
+        let heard = gateway.claims.iter().filter(|(_, (at, _))| now < at + PEER_TIMEOUT_MS);
+        let others = heard.filter_map(|(sender, (_, claims))| {
+            place(*sender).map(|place| (place, claims.iter().copied().collect()))
+        });
+        let others = others.collect();
+        gateway.gate.set_position(place(index).unwrap_or(0), live.len());
+        gateway.gate.set_other_claims(others);
         let mut news = self.step_runs(index);
         news |= self.step_checks(index);
         let gateway = &mut self.gateways[index];
@@ -140,6 +152,7 @@
             return;
         }
         recent.truncate(W::LIMITS.max_reports);
+        let claims = gateway.gate.claims(at);
         let mut all = None;
         for other in (0..self.gateways.len()).filter(|o| *o != index) {
             let gateway = &self.gateways[index];
@@ -156,6 +169,10 @@
             let max = reports.len().min(W::LIMITS.max_reports);
             let reports = reports[..max].to_vec();
             self.deliver(other, reports);
+            if !claims.is_empty() && self.trouble.loss <= self.rng.f64() {
+                let at = now + self.rng.u64(5..50);
+                self.gateways[other].claims_inbox.push((at, index, claims.clone()));
+            }
         }
     }
 
--- a/tests/crashing_fleet/workload.rs
+++ b/tests/crashing_fleet/workload.rs
@@ -49,6 +49,15 @@
     pub ends_with_connection: bool,
 }
 
+/// A fault at a set time.
+#[derive(Clone, Copy, Debug)]
+pub enum Fault {
+    /// Endpoints crash at once, for a reason of their own, and are down for so long.
+    CrashEndpoints { count: usize, down_ms: u64 },
+    /// All gateways are killed and start again.
+    KillGateways,
+}
+
 /// The callers of a schedule.
 pub trait Workload {
     const LIMITS: Limits;
@@ -70,6 +79,16 @@
     /// What follows when the endpoint of a run has crashed.
     fn repeats(&mut self, rng: &mut fastrand::Rng, request: &Request) -> Vec<Repeat>;
 
+    /// Number of gateways that callers use, if there are so many.
+    fn used_gateways(&self) -> usize {
+        usize::MAX
+    }
+
+    /// A fault that is due now.
+    fn fault(&self, _now: u64) -> Option<Fault> {
+        None
+    }
+
     /// Segments that a gateway passes to its gate.
     fn passed_segments<'a>(&self, request: &'a Request) -> &'a [SegmentId] {
         &request.segments
--- a/tests/segment_history/trials.rs
+++ b/tests/segment_history/trials.rs
@@ -1,6 +1,6 @@
 //! Trials of segments that may have been blamed wrongly.
 
-use goldcrestpitch::core::quarantine::{RunPermit, Suspect};
+use goldcrestpitch::core::quarantine::{CrashReport, RunPermit, Suspect};
 
 use crate::gateway::{BAD, CONVERSATIONS, FIRST, Gateway, SEGMENT_LIMIT};
 
@@ -151,3 +151,138 @@
         assert_eq!(gateway.permit(&[FIRST, BAD]), RunPermit::Quarantined);
     }
 }
+
+/// Blamed for crashes that no request caused, they were refused for good: none of them ever came
+/// without the others.
+#[test]
+fn sound_segments_that_always_come_together_are_tried() {
+    for count in 2..=4 {
+        let shared: Vec<u64> = (FIRST..).take(count).collect();
+        let mut gateway = Gateway::new();
+        gateway.complete(&shared);
+        for _ in 0..SEGMENT_LIMIT {
+            gateway.crash_with(&[&shared]);
+        }
+        gateway.await_proof();
+        assert!(!gateway.blamed().is_empty());
+        gateway.pass(3000);
+        assert_eq!(gateway.permit(&shared), RunPermit::Allowed, "{count} segments");
+        let trial = gateway.start(&shared);
+        assert_eq!(gateway.permit(&shared), RunPermit::Quarantined);
+        gateway.respond(trial);
+        assert_eq!(gateway.write(trial, 1000).len(), count);
+        assert_eq!(gateway.blamed(), [0; 0]);
+        assert_eq!(gateway.permit(&shared), RunPermit::Allowed);
+    }
+}
+
+/// Two segments that always come together turn bad.
+#[test]
+fn joint_trials_that_crash_are_bounded_by_the_rules() {
+    let prompt = [FIRST, 2];
+    let mut gateway = Gateway::new();
+    gateway.complete(&prompt);
+    for _ in 0..SEGMENT_LIMIT {
+        gateway.crash_with(&[&prompt]);
+    }
+    gateway.await_proof();
+    let mut trials = 0;
+    for second in 0..4000 {
+        let request = gateway.new_request();
+        match gateway.gate.permit(gateway.now, request, &prompt) {
+            RunPermit::Allowed => {
+                gateway.crash_with(&[&prompt]);
+                trials += 1;
+            }
+            _ => gateway.gate.record_refusal(gateway.now, request, &prompt),
+        }
+        if second == 500 {
+            assert_eq!(trials, 1);
+        }
+        gateway.pass(1000);
+        gateway.gate.expire(gateway.now);
+    }
+    // The rules allow three sends.
+    assert_eq!(trials, 3);
+    assert_eq!(gateway.permit(&prompt), RunPermit::Quarantined);
+}
+
+/// A joint trial that crashes does not use up those of a request with one suspect.
+#[test]
+fn request_with_one_suspect_is_tried_after_a_joint_trial_has_crashed() {
+    let mut gateway = Gateway::new();
+    gateway.complete(&[FIRST, 2]);
+    for _ in 0..SEGMENT_LIMIT {
+        gateway.crash_with(&[&[FIRST, 2]]);
+    }
+    gateway.await_proof();
+    gateway.pass(3000);
+    gateway.crash_with(&[&[FIRST, 2]]);
+    gateway.pass(3000);
+    let [blamed] = gateway.blamed()[..] else { panic!("{:?}", gateway.blamed()) };
+    assert_eq!(gateway.permit(&[FIRST, 2]), RunPermit::Quarantined);
+    assert_eq!(gateway.permit(&[blamed, CONVERSATIONS]), RunPermit::Allowed);
+}
+
+/// All callers use a gateway that does not own the segment: no trial ever began.
+#[test]
+fn trial_runs_at_the_gateway_that_gets_the_requests() {
+    let mut gateway = wrongly_blamed();
+    gateway.pass(2000);
+    gateway.gate.set_position(((FIRST + 1) % 3) as usize, 3);
+    let refuse = |gateway: &mut Gateway| {
+        let (request, segments) = (gateway.new_request(), [FIRST, CONVERSATIONS]);
+        let permit = gateway.gate.permit(gateway.now, request, &segments);
+        assert_eq!(permit, RunPermit::Quarantined);
+        gateway.gate.record_refusal(gateway.now, request, &segments);
+    };
+    refuse(&mut gateway);
+    assert_eq!(gateway.gate.claims(gateway.now), [FIRST]);
+    // The claims of other gateways may be on their way.
+    gateway.pass(1900);
+    refuse(&mut gateway);
+    gateway.pass(100);
+    assert_eq!(gateway.permit(&[FIRST, CONVERSATIONS]), RunPermit::Allowed);
+}
+
+/// Of several gateways that get requests with the segment, one runs the trial.
+#[test]
+fn one_of_the_gateways_that_get_requests_runs_the_trial() {
+    for asking in [vec![0, 1, 2], vec![0, 1], vec![1, 2], vec![0, 2]] {
+        let mut gateway = wrongly_blamed();
+        gateway.gate.record_refusal(gateway.now, 7, &[FIRST]);
+        gateway.pass(2000);
+        let mut trying = Vec::new();
+        for position in &asking {
+            let others = asking.iter().filter(|p| *p != position);
+            let claims = others.map(|p| (*p, [FIRST].into())).collect();
+            gateway.gate.set_position(*position, 3);
+            gateway.gate.set_other_claims(claims);
+            if gateway.permit(&[FIRST, CONVERSATIONS]) == RunPermit::Allowed {
+                trying.push(*position);
+            }
+        }
+        assert_eq!(trying.len(), 1, "{asking:?}: {trying:?}");
+    }
+}
+
+/// A request whose crashes others explain runs in one process, and waited in vain in all others
+/// if no caller asked that one.
+#[test]
+fn request_with_explained_crashes_runs_where_it_arrives() {
+    let mut gateway = Gateway::new();
+    let (request, cause) = (7, 8);
+    for (suspect, crashes) in [(request, vec![1, 2, 3]), (cause, vec![1, 2, 3, 4])] {
+        let (cleared, headers) = (Vec::new(), Vec::new());
+        let suspect = Suspect::Request(suspect);
+        let report = CrashReport { suspect, crashes, cleared, sound: false, headers };
+        assert!(gateway.gate.merge(gateway.now, &report));
+    }
+    gateway.pass(1000);
+    gateway.gate.set_position(((request + 1) % 2) as usize, 2);
+    assert_eq!(gateway.gate.permit(gateway.now, request, &[]), RunPermit::Wait);
+    gateway.gate.claim(gateway.now, request, &[]);
+    gateway.pass(2000);
+    assert_eq!(gateway.gate.permit(gateway.now, request, &[]), RunPermit::Allowed);
+    assert_eq!(gateway.gate.permit(gateway.now, cause, &[]), RunPermit::Quarantined);
+}
