Orders name the engine, and restarts are told by its start

Cause: nothing told which start of an engine an order was for. The number of accepted orders stood for it and begins at 0 with each start, so an order without an answer was carried out by the next engine. Change: gateways name the engine and its start in Hello, orders carry the id, and none is sent while gateways know another start. A load without an answer from before a restart under the same id keeps its memory reserved until the count has passed it, or for 30 s. Why it works: another engine answers 421; the same one has the room.

--- a/src/core/residency/engine_report.rs
+++ b/src/core/residency/engine_report.rs
@@ -10,6 +10,8 @@
 /// Loaded models, load and running requests, as reported by an engine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EngineReport {
+    /// Start of the engine in Unix milliseconds by its own clock, if it is known.
+    pub started_ms: Option<u64>,
     /// Loaded models and adapters.
     pub residency: Residency,
     /// Adapters that are being transferred to the engine, with their models.
--- a/src/core/residency/order.rs
+++ b/src/core/residency/order.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::core::ids::ModelName;
+use crate::core::ids::{EndpointId, ModelName};
 
 /// Kind of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -16,6 +16,9 @@
 /// An order to load or unload a model or an adapter.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EngineOrder {
+    /// Engine that is to carry it out; any other refuses it. `None` if no gateway has named
+    /// the engine.
+    pub endpoint: Option<EndpointId>,
     /// Whether to load or unload.
     pub operation: Operation,
     /// Model to load or unload, or the model of the adapter.
@@ -38,6 +41,8 @@
     Conflict,
     /// The engine has seen a newer fencing token.
     Fenced,
+    /// Another engine has the address, and does not carry the order out.
+    OtherEndpoint,
     /// Permanently refused, with this HTTP status.
     Refused(u16),
 }
--- a/src/core/residency/order_scheduler.rs
+++ b/src/core/residency/order_scheduler.rs
@@ -3,7 +3,9 @@
 //! Only the agent on the engine's VM sends it orders. Every order carries the
 //! number of orders that the engine has accepted so far, and the engine rejects
 //! an order whose number differs. At most one of several in-flight orders can
-//! therefore take effect.
+//! therefore take effect. The number starts anew with the engine, so an order also
+//! names the engine, and one that may reach a later start of the same engine has
+//! its memory reserved there.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -13,7 +15,7 @@
 
 use crate::core::{
     forwarding::{EndpointState, EngineSpec, LoadedModel, ModelRef},
-    ids::{Mib, ModelName},
+    ids::{EndpointId, Mib, ModelName},
     residency::{EngineOrder, EngineReport, Operation, OrderAnswer},
 };
 
@@ -27,6 +29,13 @@
 /// refused. Twice the period at which gateways report what they use.
 const USE_LIFETIME: Duration = Duration::from_millis(900);
 
+/// How long an order without an answer may still be carried out. The platform's rules say
+/// seconds.
+const LATE_ORDER_LIFETIME: Duration = Duration::from_secs(30);
+/// How long an engine's id is known after a gateway last named it: several times the
+/// interval at which gateways do so.
+const ENDPOINT_LIFETIME: Duration = Duration::from_secs(10);
+
 /// Origin of a change request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChangeSource {
@@ -42,6 +51,23 @@
     expires_at: Instant,
 }
 
+/// An engine at the agent's address, as gateways name it.
+#[derive(Clone, Copy, Debug)]
+struct NamedEndpoint {
+    // Start in Unix milliseconds; 0 if it is unknown.
+    started_ms: u64,
+    last_named: Instant,
+}
+
+/// An order without an answer.
+#[derive(Clone, Debug)]
+struct LateOrder {
+    order: EngineOrder,
+    sent_before: Instant,
+    // The engine has started again since.
+    is_from_earlier_start: bool,
+}
+
 /// Turns change requests from gateways into orders to one engine, one at a time.
 ///
 /// ```
@@ -57,6 +83,7 @@
 ///     ..EngineSpec::default()
 /// };
 /// let empty = EngineReport {
+///     started_ms: None,
 ///     residency: Residency::default(), incoming_adapters: vec![], running: vec![], order_seq: 0,
 ///     state: EndpointState::Ready, load: LoadReport::default(),
 /// };
@@ -87,6 +114,10 @@
     // Adapters whose unload was accepted but that are still in the reports.
     unloading_adapters: HashSet<(ModelName, Arc<str>)>,
     backoff_until: Option<Instant>,
+    endpoints: HashMap<EndpointId, NamedEndpoint>,
+    // Start and number of accepted orders in the newest report.
+    reported_start: Option<(Option<u64>, u64)>,
+    late_orders: Vec<LateOrder>,
 }
 
 impl OrderScheduler {
@@ -101,6 +132,12 @@
         self.fence = Some(fence);
     }
 
+    /// Records that a gateway names the engine at the agent's address, with its start in Unix
+    /// milliseconds (0 if it is unknown). After a restart, gateways may name either for a while.
+    pub fn set_endpoint(&mut self, now: Instant, id: EndpointId, started_ms: u64) {
+        self.endpoints.insert(id, NamedEndpoint { started_ms, last_named: now });
+    }
+
     /// Whether both the engine's specification and a fencing token are known.
     pub fn can_issue_orders(&self) -> bool {
         self.spec.is_some() && self.fence.is_some()
@@ -203,10 +240,17 @@
                 || old.state != report.state
                 || old.order_seq != report.order_seq
         });
+        self.endpoints.retain(|_, e| now < e.last_named + ENDPOINT_LIFETIME);
+        self.late_orders.retain(|late| now < late.sent_before + LATE_ORDER_LIFETIME);
+        let start = (report.started_ms, report.order_seq);
+        if self.reported_start.replace(start).is_some_and(|last| is_restart(last, start)) {
+            self.loading = None;
+            self.unloading_adapters.clear();
+            self.late_orders.iter_mut().for_each(|late| late.is_from_earlier_start = true);
+        }
         if let Some((model, order_seq)) = &self.loading {
-            let restarted = report.order_seq < *order_seq;
             let done = *order_seq < report.order_seq && !report.residency.order_in_progress;
-            if restarted || done || report.residency.is_loaded(model, None) {
+            if done || report.residency.is_loaded(model, None) {
                 self.loading = None;
             }
         }
@@ -226,11 +270,16 @@
         if report.state == EndpointState::Draining {
             return None;
         }
+        let endpoint = self.endpoint(report).cloned();
+        if endpoint.is_none() && !self.endpoints.is_empty() {
+            // Gateways have yet to learn of this start.
+            return None;
+        }
         let (operation, (model, adapter)) = self
             .next_adapter_order(now, spec, report)
             .or_else(|| self.next_model_order(spec, report))?;
-        let order =
-            EngineOrder { operation, model, adapter, expected: report.order_seq, fence: fence + 1 };
+        let expected = report.order_seq;
+        let order = EngineOrder { endpoint, operation, model, adapter, expected, fence: fence + 1 };
         self.fence = Some(order.fence);
         self.awaiting_answer = Some(order.clone());
         Some(order)
@@ -249,12 +298,16 @@
             self.loading = Some((order.model.clone(), order.expected));
         }
         if answer == Some(OrderAnswer::Accepted) && order.operation == Operation::Unload {
-            self.unloading_adapters.extend(order.adapter.map(|a| (order.model, a)));
+            self.unloading_adapters.extend(order.adapter.clone().map(|a| (order.model.clone(), a)));
         }
         // An order without an answer may still be executed late. The next order
         // then expects the same number of accepted orders, so that the engine
         // accepts only one of the two.
         self.last_report = None;
+        if answer.is_none() {
+            let (sent_before, is_from_earlier_start) = (now, false);
+            self.late_orders.push(LateOrder { order, sent_before, is_from_earlier_start });
+        }
     }
 
     fn next_adapter_order(
@@ -273,7 +326,8 @@
         });
         let (model, adapter) = missing?;
         let size = spec.models.get(&model)?.adapter_size;
-        let slots = spec.adapter_slots as usize;
+        let late = self.late_loads(report).filter(|order| order.adapter.is_some()).count();
+        let slots = (spec.adapter_slots as usize).saturating_sub(late);
         if present.len() < slots && self.free_memory(spec, report) >= size {
             return Some((Operation::Load, (model, Some(adapter))));
         }
@@ -325,6 +379,44 @@
         } else {
             0
         };
-        spec.weights_memory.saturating_sub(report.used_memory(spec) + loading + unknown_load)
+        let late = self.late_loads(report).map(|order| match spec.models.get(&order.model) {
+            Some(model) if order.adapter.is_some() => model.adapter_size,
+            Some(model) => model.weights_size,
+            None => spec.weights_memory,
+        });
+        let late: Mib = late.sum();
+        let used = report.used_memory(spec) + loading + unknown_load + late;
+        spec.weights_memory.saturating_sub(used)
+    }
+
+    /// The id of the engine that has sent the report, if a gateway has named it.
+    fn endpoint(&self, report: &EngineReport) -> Option<&EndpointId> {
+        let is_start = |e: &NamedEndpoint| match report.started_ms {
+            Some(started_ms) => [0, started_ms].contains(&e.started_ms),
+            None => true,
+        };
+        let matching = self.endpoints.iter().filter(|(_, e)| is_start(e));
+        matching.max_by_key(|(_, e)| e.last_named).map(|(id, _)| id)
+    }
+
+    /// Loads from before the last restart of the engine that this start may still carry out.
+    fn late_loads(&self, report: &EngineReport) -> impl Iterator<Item = &EngineOrder> {
+        let endpoint = self.endpoint(report);
+        let late = self.late_orders.iter().filter(|late| late.is_from_earlier_start);
+        late.map(|late| &late.order).filter(move |order| {
+            let reaches = order.endpoint.is_none() || order.endpoint.as_ref() == endpoint;
+            let is_present = report.residency.is_loaded(&order.model, order.adapter.as_deref());
+            let is_load = order.operation == Operation::Load && !is_present;
+            reaches && is_load && report.order_seq <= order.expected
+        })
+    }
+}
+
+/// Whether the engine has started again between two reports, of which each gives the start and
+/// the number of accepted orders.
+fn is_restart(before: (Option<u64>, u64), after: (Option<u64>, u64)) -> bool {
+    match (before.0, after.0) {
+        (Some(before), Some(after)) => before != after,
+        _ => after.1 < before.1,
     }
 }
--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -228,6 +228,10 @@
         if !hello.used_models.is_empty() || !hello.changes.is_empty() {
             gateway.last_used = Some(now);
         }
+        if !hello.engine_id.is_empty() {
+            let id = hello.engine_id.as_str().into();
+            state.order_scheduler.set_endpoint(now, id, hello.engine_started_ms);
+        }
         let planner = planner_address(&state.gateways, now);
         for change in &hello.changes {
             let source = match change.adapter.is_empty() {
@@ -357,7 +361,8 @@
                 let mut state = shared.lock();
                 report.load.recent_tokens = state.arrivals.recent_tokens(now, &report.running);
                 if std::mem::take(&mut state.engine_lost) {
-                    info!("event=engine_back seq={}", report.order_seq);
+                    let started_ms = report.started_ms.unwrap_or(0);
+                    info!("event=engine_back seq={} started_ms={started_ms}", report.order_seq);
                 }
                 let load_changed = state.last_report.as_ref().map(|r| r.load) != Some(report.load);
                 let residency_changed = state.last_report.as_ref().map(|r| (&r.residency, r.state))
@@ -406,7 +411,8 @@
         Err(OrderError::Unknown(_)) => "Unknown".to_owned(),
     };
     info!(
-        "event=order kind={:?} model={} adapter={} expected={} fence={} answer={text}",
+        "event=order engine={} kind={:?} model={} adapter={} expected={} fence={} answer={text}",
+        order.endpoint.as_deref().unwrap_or("-"),
         order.operation,
         order.model,
         order.adapter.as_deref().unwrap_or("-"),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -472,18 +472,25 @@
             all_changes.entry(id).or_default().extend(adapters);
         }
         let mut all_used = state.dispatcher.take_in_use();
-        for (id, address) in agents(&state, own) {
+        for (id, address, engine_started_ms) in agents(&state, own) {
             let changes = all_changes.remove(&id).unwrap_or_default();
             let used = all_used.remove(&id).unwrap_or_default();
             let used_models: Vec<String> = used.iter().map(model_ref_text).collect();
             let wants_status = !self.agents.contains_key(&id);
             let due = self.last_hello.get(&id).is_none_or(|at| *at + HELLO_INTERVAL <= now);
             if is_planner || wants_status || due || !changes.is_empty() || !used_models.is_empty() {
+                let engine_id = id.to_string();
                 self.last_hello.insert(id, now);
-                socket.send(
-                    address,
-                    Body::Hello(Hello { serving, is_planner, changes, used_models, wants_status }),
-                );
+                let hello = Hello {
+                    serving,
+                    is_planner,
+                    changes,
+                    used_models,
+                    wants_status,
+                    engine_id,
+                    engine_started_ms,
+                };
+                socket.send(address, Body::Hello(hello));
             }
         }
         self.last_hello.retain(|_, at| now < *at + HELLO_INTERVAL * 2);
@@ -496,13 +503,13 @@
     }
 }
 
-/// The registered engines with the addresses of their agents.
-fn agents(state: &shared::State, own: SocketAddr) -> Vec<(EndpointId, SocketAddr)> {
+/// The registered engines with the addresses of their agents and their starts.
+fn agents(state: &shared::State, own: SocketAddr) -> Vec<(EndpointId, SocketAddr, u64)> {
     let engines = state.registry.iter().filter(|e| {
         let service = state.table.as_ref().and_then(|t| t.service(&e.registration.service));
         service.is_some_and(|s| s.engine.is_some())
     });
-    engines.map(|e| (e.id().clone(), agent_address(e, own))).collect()
+    engines.map(|e| (e.id().clone(), agent_address(e, own), e.registration.started_ms)).collect()
 }
 
 /// An agent runs on the VM of its engine and listens on the same port as gateways.
@@ -522,6 +529,8 @@
             changes,
             used_models: Vec::new(),
             wants_status: false,
+            engine_id: id.to_string(),
+            engine_started_ms: engine.registration.started_ms,
         };
         socket.send(agent_address(engine, own), Body::Hello(hello));
     }
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -72,6 +72,12 @@
     /// The gateway has no status of the engine and asks for one.
     #[prost(bool, tag = "5")]
     pub wants_status: bool,
+    /// Id under which the gateway knows the engine; empty from earlier versions.
+    #[prost(string, tag = "6")]
+    pub engine_id: String,
+    /// Start of that engine in Unix milliseconds, by its own clock; 0 if it is unknown.
+    #[prost(uint64, tag = "7")]
+    pub engine_started_ms: u64,
 }
 
 /// A request to load or unload a model or an adapter.
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -15,6 +15,7 @@
     http::{Client, ClientError},
     platform::{
         DecodeError,
+        headers::EXPECTED_ENDPOINT,
         registration::{CachedModelsWire, LoadedModelWire, residency},
     },
 };
@@ -32,6 +33,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct ReportWire {
+    #[serde(default, rename = "born")]
+    started_ms: Option<u64>,
     models: Vec<LoadedModelWire>,
     #[serde(default)]
     at_hand: Option<CachedModelsWire>,
@@ -87,6 +90,7 @@
         });
         let draining = wire.state.as_deref().is_some_and(|s| s == "draining");
         Self {
+            started_ms: wire.started_ms,
             incoming_adapters: incoming_adapters.collect(),
             running: running.collect(),
             order_seq: wire.seq,
@@ -165,12 +169,19 @@
         let body = serde_json::to_vec(&wire).map_err(|e| OrderError::NotSent(e.to_string()))?;
         let mut headers = HeaderMap::new();
         headers.insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+        if let Some(endpoint) = &order.endpoint {
+            // A late order is then refused by an engine that has started meanwhile.
+            let id = header::HeaderValue::from_str(endpoint);
+            let id = id.map_err(|err| OrderError::NotSent(err.to_string()))?;
+            headers.insert(EXPECTED_ENDPOINT, id);
+        }
         let call = self.orders.call(Method::POST, ORDER_PATH, headers, body.into(), ORDER_TIMEOUT);
         match call.await {
             Ok(_) => Ok(OrderAnswer::Accepted),
             Err(ClientError::Status(status, _)) => Ok(match status.as_u16() {
                 409 => OrderAnswer::Conflict,
                 412 => OrderAnswer::Fenced,
+                421 => OrderAnswer::OtherEndpoint,
                 other => OrderAnswer::Refused(other),
             }),
             Err(ClientError::NotSent(text)) => Err(OrderError::NotSent(text)),
--- a/tests/engine_agent.rs
+++ b/tests/engine_agent.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -25,6 +25,9 @@
     time,
 };
 
+/// Id of the fake engine.
+const ENGINE: &str = "i-7";
+
 /// Counts the requests to a fake engine and controls how it answers.
 #[derive(Debug, Default)]
 struct FakeEngine {
@@ -34,6 +37,8 @@
     slow_orders: AtomicBool,
     // Each report has another number of active requests.
     load_changes: AtomicBool,
+    // The engine that the last order named.
+    ordered: Mutex<Option<String>>,
 }
 
 impl FakeEngine {
@@ -54,7 +59,14 @@
         {
             time::sleep(Duration::from_millis(5)).await;
         }
+        let ordered = req.headers().get("x-expect-instance");
+        let ordered = ordered.map(|id| id.to_str().unwrap().to_owned());
+        let is_other = ordered.as_ref().is_some_and(|id| id != ENGINE);
+        *self.ordered.lock().unwrap() = ordered;
         self.orders.fetch_add(1, Ordering::SeqCst);
+        if is_other {
+            return http::text(StatusCode::MISDIRECTED_REQUEST, "");
+        }
         http::text(StatusCode::ACCEPTED, "")
     }
 }
@@ -63,6 +75,7 @@
     engine: Arc<FakeEngine>,
     gateway: Socket,
     agent: EngineAgent,
+    engine_address: SocketAddr,
     agent_address: SocketAddr,
     _stop: [http::StopSignal; 2],
 }
@@ -107,7 +120,14 @@
             store,
         };
         let agent = engine_agent::start(config, socket);
-        Self { engine, gateway, agent, agent_address, _stop: [stop_log, stop_engine] }
+        Self {
+            engine,
+            gateway,
+            agent,
+            engine_address,
+            agent_address,
+            _stop: [stop_log, stop_engine],
+        }
     }
 
     fn send_hello(&self, changes: Vec<ResidencyChange>) {
@@ -115,8 +135,8 @@
             serving: true,
             is_planner: true,
             changes,
-            used_models: Vec::new(),
-            wants_status: false,
+            engine_id: ENGINE.into(),
+            ..Hello::default()
         };
         self.gateway.send(self.agent_address, Body::Hello(hello));
     }
@@ -174,6 +194,35 @@
     });
 }
 
+/// An order without the engine's id that arrives late is carried out by the next engine there.
+#[test]
+fn orders_name_the_engine() {
+    run(async {
+        let fixture = Fixture::start().await;
+        let load = ResidencyChange {
+            kind: ChangeKind::Load.into(),
+            model: "m".into(),
+            adapter: String::new(),
+        };
+        while fixture.engine.orders.load(Ordering::SeqCst) == 0 {
+            fixture.next_status(std::slice::from_ref(&load)).await;
+        }
+        assert_eq!(fixture.engine.ordered.lock().unwrap().as_deref(), Some(ENGINE));
+        let client = EngineClient::new(fixture.engine_address, "side-1");
+        let order = |endpoint: &str| EngineOrder {
+            endpoint: Some(endpoint.into()),
+            operation: Operation::Load,
+            model: "m".into(),
+            adapter: None,
+            expected: 0,
+            fence: 7,
+        };
+        assert_eq!(client.order(&order("i-6")).await, Ok(OrderAnswer::OtherEndpoint));
+        assert_eq!(client.order(&order(ENGINE)).await, Ok(OrderAnswer::Accepted));
+        fixture.agent.stop();
+    });
+}
+
 #[test]
 fn only_the_planner_can_request_model_loads() {
     run(async {
@@ -194,6 +243,7 @@
                 changes,
                 used_models: Vec::new(),
                 wants_status: false,
+                ..Hello::default()
             };
             other.send(fixture.agent_address, Body::Hello(hello));
             fixture.next_status(&[]).await;
@@ -220,6 +270,7 @@
                 changes: Vec::new(),
                 used_models,
                 wants_status: false,
+                ..Hello::default()
             };
             socket.send(fixture.agent_address, Body::Hello(hello));
         };
@@ -257,6 +308,7 @@
             }
         });
         let order = EngineOrder {
+            endpoint: None,
             operation: Operation::Load,
             model: "m".into(),
             adapter: None,
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -192,6 +192,8 @@
         changes: (0..16).map(change).collect(),
         used_models: (0..13).map(|i| format!("{}/a17", model_name(i))).collect(),
         wants_status: true,
+        engine_id: "i-0123456789abcdef".into(),
+        engine_started_ms: 1_700_000_000_000,
     };
     let bytes = encoded_size(Body::Hello(hello));
     assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}");
--- a/tests/placement/order_scheduler.rs
+++ b/tests/placement/order_scheduler.rs
@@ -29,6 +29,8 @@
 
 /// Simulated engine that crashes when an order exceeds its memory or adapter slots.
 struct Engine {
+    id: String,
+    started_ms: u64,
     loaded: HashMap<String, Vec<String>>,
     seq: u64,
     busy: Option<(EngineOrder, Instant)>,
@@ -40,6 +42,8 @@
 impl Engine {
     fn new() -> Self {
         Self {
+            id: "i-0".to_owned(),
+            started_ms: 1,
             loaded: HashMap::new(),
             seq: 0,
             busy: None,
@@ -60,11 +64,35 @@
         self.loaded.values().map(Vec::len).sum()
     }
 
+    /// Starts again, empty, under a new id or the one that it had. Orders that are on their way
+    /// still arrive.
+    fn restart(&mut self, id: Option<String>) {
+        let (id, delayed) = (id.unwrap_or(self.id.clone()), std::mem::take(&mut self.delayed));
+        *self = Self {
+            id,
+            started_ms: self.started_ms + 1,
+            delayed,
+            crashed: self.crashed,
+            accepted: std::mem::take(&mut self.accepted),
+            ..Self::new()
+        };
+    }
+
     fn order(&mut self, now: Instant, order: &EngineOrder) -> OrderAnswer {
+        if order.endpoint.as_ref().is_some_and(|id| **id != *self.id) {
+            return OrderAnswer::OtherEndpoint;
+        }
         if self.busy.is_some() || order.expected != self.seq {
             return OrderAnswer::Conflict;
         }
         let model = order.model.to_string();
+        let held = self.loaded.get(&model);
+        let is_held = held.is_some_and(|adapters| {
+            order.adapter.as_ref().is_none_or(|a| adapters.iter().any(|held| **held == **a))
+        });
+        if order.operation == Operation::Load && is_held {
+            return OrderAnswer::Accepted;
+        }
         self.seq += 1;
         self.accepted.push(order.fence);
         match (order.operation, &order.adapter) {
@@ -111,6 +139,7 @@
             adapters: adapters.iter().map(|a| a.as_str().into()).collect(),
         });
         EngineReport {
+            started_ms: Some(self.started_ms),
             residency: Residency {
                 loaded: loaded.collect(),
                 cached: Vec::new(),
@@ -173,6 +202,99 @@
     assert!(400 * 10 < accepted, "too few orders were accepted: {accepted}");
 }
 
+/// Runs random change requests beside restarts of the engine, of which gateways learn later.
+/// `keeps_id` tells whether a restart leaves the id.
+fn run_with_restarts(seed: u64, keeps_id: impl Fn(&mut fastrand::Rng) -> bool) -> Engine {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut engine = Engine::new();
+    let mut scheduler = scheduler();
+    let start = Instant::now();
+    let mut registered = (engine.id.clone(), engine.started_ms);
+    for step in 0..800 {
+        let now = start + Duration::from_millis(50 * step);
+        engine.tick(now);
+        if rng.u8(..100) < 2 {
+            let id = (!keeps_id(&mut rng)).then(|| format!("i-{step}"));
+            engine.restart(id);
+        }
+        if rng.u8(..100) < 10 {
+            registered = (engine.id.clone(), engine.started_ms);
+        }
+        if rng.u8(..100) < 10 {
+            scheduler.set_endpoint(now, registered.0.as_str().into(), registered.1);
+        }
+        if rng.u8(..100) < 30 {
+            let (model, _) = MODELS[rng.usize(..MODELS.len())];
+            let adapter = rng.bool().then(|| ["x", "y", "z", "u"][rng.usize(..4)].into());
+            let (source, operation) = match (&adapter, rng.u8(..4)) {
+                (None, 0) => (ChangeSource::Planner, Operation::Unload),
+                (None, _) => (ChangeSource::Planner, Operation::Load),
+                (Some(_), _) => (ChangeSource::Request, Operation::Load),
+            };
+            scheduler.request_change(now, source, operation, model.into(), adapter);
+        }
+        scheduler.handle_report(now, engine.report());
+        // In the real process the gateway that requests a change names the engine.
+        let Some(order) = scheduler.next_order(now).filter(|_| 0 < step) else { continue };
+        if rng.u8(..100) < 35 {
+            let at = now + Duration::from_millis(rng.u64(50..12_000));
+            engine.delayed.push_back((order, at));
+            engine.delayed.make_contiguous().sort_by_key(|(_, at)| *at);
+            scheduler.handle_answer(now, None);
+        } else {
+            let answer = engine.order(now, &order);
+            scheduler.handle_answer(now, Some(answer));
+        }
+    }
+    engine
+}
+
+/// An order without an answer was carried out after a restart, at which the number of accepted
+/// orders happened to be the expected one again.
+#[test]
+fn late_orders_never_exceed_the_capacity_of_a_restarted_engine() {
+    println!("seeds 0..2000");
+    let mut accepted = 0;
+    for seed in 0..2000 {
+        let new_id = run_with_restarts(seed, |_| false);
+        let same_id = run_with_restarts(seed, |_| true);
+        let either = run_with_restarts(seed, fastrand::Rng::bool);
+        for (ids, engine) in [("new", new_id), ("same", same_id), ("either", either)] {
+            assert!(!engine.crashed, "seed {seed}, {ids}");
+            accepted += engine.accepted.len();
+        }
+    }
+    assert!(2000 * 3 * 10 < accepted, "too few orders were accepted: {accepted}");
+}
+
+/// Its crash ended the load, so that the number of accepted orders is what it was before.
+#[test]
+fn engine_that_crashes_in_its_first_load_gets_orders_again() {
+    let (now, mut engine, mut scheduler) = (Instant::now(), Engine::new(), scheduler());
+    for restart in 0..3 {
+        scheduler.set_endpoint(now, engine.id.as_str().into(), engine.started_ms);
+        scheduler.request_change(now, ChangeSource::Planner, Operation::Load, "a".into(), None);
+        scheduler.handle_report(now, engine.report());
+        let order = scheduler.next_order(now).unwrap_or_else(|| panic!("restart {restart}"));
+        let answer = engine.order(now, &order);
+        scheduler.handle_answer(now, Some(answer));
+        assert_eq!(answer, OrderAnswer::Accepted);
+        engine.restart(None);
+    }
+}
+
+#[test]
+fn no_order_to_an_engine_that_gateways_do_not_know_yet() {
+    let (now, mut engine, mut scheduler) = (Instant::now(), Engine::new(), scheduler());
+    scheduler.set_endpoint(now, engine.id.as_str().into(), engine.started_ms);
+    engine.restart(Some("i-1".to_owned()));
+    scheduler.request_change(now, ChangeSource::Planner, Operation::Load, "a".into(), None);
+    scheduler.handle_report(now, engine.report());
+    assert_eq!(scheduler.next_order(now), None);
+    scheduler.set_endpoint(now, "i-1".into(), engine.started_ms);
+    assert_eq!(scheduler.next_order(now).unwrap().endpoint.as_deref(), Some("i-1"));
+}
+
 #[test]
 fn an_unanswered_order_does_not_block_the_next() {
     let start = Instant::now();
