Log which requests the end of a gateway's grace period cuts off

Looked for: the cause of LOST around planned stops. Logs gave no count of what was cut, so nothing told late first requests, long waits and early ends of the process apart. Change: a stream that is cut off logs its id, when it was received and when it is cut off after the stop signal, and is aborted; other requests that end with the grace period log `refused` and `request_end`, and get 503 instead of 504 if they were not passed on.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -66,17 +66,11 @@
         Ok(body) => body,
         Err(refusal) => return refusals::response(&refusal),
     };
-    let request = match ProxiedRequest::new(shared.clone(), route, head, caller, body, limit) {
+    let request = match ProxiedRequest::new(shared, route, head, caller, body, limit) {
         Ok(request) => request,
         Err(refusal) => return refusals::response(&refusal),
     };
-    tokio::select! {
-        reply = request.run() => reply,
-        () = shared.grace_period_ended() => {
-            let text = "the gateway shut down before the endpoint responded";
-            refusals::response(&Refusal::new(Code::DeadlineExceeded, text))
-        }
-    }
+    request.run().await
 }
 
 fn find_route(table: &RouteTable, head: &Parts) -> Option<Arc<Route>> {
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -42,6 +42,8 @@
 const ABORT_MARGIN: Duration = Duration::from_millis(900);
 /// Time to send the error responses of aborted requests.
 const ABORT_RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which streams that are cut off write their log lines.
+const CUT_OFF_TIME: Duration = Duration::from_millis(20);
 /// Share of the grace period in which requests may still wait for an endpoint.
 const WAIT_SHARE_OF_GRACE: f64 = 0.6;
 
@@ -179,7 +181,10 @@
         if !completed {
             self.shared.end_grace_period();
             // Meanwhile the error responses are sent to the callers.
-            let _ = time::timeout(ABORT_RESPONSE_TIMEOUT, server).await;
+            if time::timeout(ABORT_RESPONSE_TIMEOUT, server).await.is_err() {
+                self.shared.cut_off_streams();
+                time::sleep(CUT_OFF_TIME).await;
+            }
         }
         info!("event=left whole={completed}");
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,6 +9,7 @@
 use bytes::Buf;
 use hyper::{Response, StatusCode};
 use log::{info, warn};
+use metrics::counter;
 use tokio::time;
 
 use crate::{
@@ -22,6 +23,7 @@
     },
     http::{BodySender, Reply, ReplyAborted, ReplyBody},
     platform,
+    telemetry::names,
 };
 
 /// How long a started stream may be silent before a second attempt to resume it. Callers
@@ -53,10 +55,25 @@
     *head.status_mut() = received.parts.status;
     *head.headers_mut() = platform::response_headers(&received.parts.headers);
     let (tx, body) = ReplyBody::stream();
-    tokio::spawn(relay(request, received, tx));
+    tokio::spawn(relay_until_exit(request, received, tx));
     head.map(|()| body)
 }
 
+/// Relays the stream until it has ended or the process is about to end.
+async fn relay_until_exit(request: ProxiedRequest, received: EndpointResponse, tx: BodySender) {
+    let (shared, id) = (request.shared.clone(), request.id().into_owned());
+    let received_at = request.limit.received_at();
+    tokio::select! {
+        biased;
+        () = relay(request, received, tx.clone()) => {}
+        () = shared.process_ends() => {
+            log_cut_off(&id, received_at, shared.stopped_at().unwrap_or(received_at));
+            // The caller may have disconnected.
+            let _ = tx.send(Err(ReplyAborted)).await;
+        }
+    }
+}
+
 /// Relays the stream, resuming it at other endpoints, until it is complete or fails.
 async fn relay(mut request: ProxiedRequest, mut received: EndpointResponse, tx: BodySender) {
     let mut events = EventSplitter::resuming_after(request.last_event().as_deref());
@@ -120,6 +137,15 @@
     warn!("event=stream_broken id={id} endpoint={endpoint} last={last:?} error=\"{error}\"");
 }
 
+/// Logs that the end of the process cuts off a stream. `received_ms` counts from the beginning of
+/// the shutdown and is negative for requests from before it.
+fn log_cut_off(id: &str, received_at: Instant, stopped_at: Instant) {
+    let since_stop = stopped_at.elapsed().as_millis() as i64;
+    let received_ms = since_stop - received_at.elapsed().as_millis() as i64;
+    warn!("event=cut_off id={id} received_ms={received_ms} since_stop_ms={since_stop}");
+    counter!(names::CUT_OFF).increment(1);
+}
+
 /// Logs a failed stream and aborts the response to the caller.
 async fn abort(request: &ProxiedRequest, tx: &BodySender, how: &str, endpoint: &EndpointId) {
     request.log_end(StatusCode::BAD_GATEWAY, how, Some(endpoint));
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -131,10 +131,16 @@
         })
     }
 
-    /// Makes attempts until there is a response or a refusal for the caller, or its time is up.
+    /// Makes attempts until there is a response or a refusal for the caller, or its time or the
+    /// grace period of a shutdown is over.
     pub(super) async fn run(mut self) -> Reply {
         let answer_by = self.limit.answer_by();
-        match time::timeout_at(answer_by.into(), self.respond()).await {
+        let shared = self.shared.clone();
+        let responded = tokio::select! {
+            responded = time::timeout_at(answer_by.into(), self.respond()) => responded,
+            () = shared.grace_period_ended() => Ok(Err(self.shut_down())),
+        };
+        match responded {
             Ok(Ok(Answer::Whole(reply))) => reply,
             Ok(Ok(Answer::Stream(received))) => relay::start(self, *received).await,
             Ok(Err(refusal)) => self.refuse(&refusal),
@@ -253,6 +259,12 @@
         self.no_further_attempt(refusal)
     }
 
+    /// The refusal when the grace period of a shutdown is over before an endpoint responds.
+    fn shut_down(&self) -> Refusal {
+        let code = if self.runs == 0 { Code::Draining } else { Code::DeadlineExceeded };
+        Refusal::new(code, "the gateway shut down before the endpoint responded")
+    }
+
     /// The refusal when the deadline passes before an endpoint responds.
     pub(super) fn deadline_exceeded(&self) -> Refusal {
         if self.runs == 0 {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -72,7 +72,8 @@
     pending: HashMap<Ticket, oneshot::Sender<EndpointChoice>>,
     store_unavailable: bool,
     store_recovered_at: Option<Instant>,
-    shutting_down: bool,
+    // When a graceful shutdown began.
+    stopped_at: Option<Instant>,
     // Suspects whose crashes are in the store.
     pub(super) saved_reports: HashSet<Suspect>,
     // Suspects whose crashes changed here and have yet to be written to the store.
@@ -122,6 +123,7 @@
     // Wakes the task that saves crash reports.
     pub(super) report_unsaved: Notify,
     grace_period_ended: watch::Sender<bool>,
+    process_ends: watch::Sender<bool>,
 }
 
 impl SharedState {
@@ -148,7 +150,7 @@
             pending: HashMap::new(),
             store_unavailable: false,
             store_recovered_at: None,
-            shutting_down: false,
+            stopped_at: None,
             saved_reports: HashSet::new(),
             unsaved_reports: HashSet::new(),
             knows_quarantines: false,
@@ -168,6 +170,7 @@
             runs_changed: Notify::new(),
             report_unsaved: Notify::new(),
             grace_period_ended: watch::Sender::new(false),
+            process_ends: watch::Sender::new(false),
         })
     }
 
@@ -267,15 +270,16 @@
     /// Whether the gateway accepts new connections.
     pub fn is_ready(&self) -> bool {
         let state = self.lock();
-        state.table.is_some() && !state.shutting_down
+        state.table.is_some() && state.stopped_at.is_none()
     }
 
     /// Begins a graceful shutdown. From now on, requests wait at most `max_wait` for an
     /// endpoint.
     pub fn begin_shutdown(&self, max_wait: Duration) {
         let mut state = self.lock();
-        state.shutting_down = true;
-        state.dispatcher.set_wait_limit(Instant::now() + max_wait);
+        let now = Instant::now();
+        state.stopped_at = Some(now);
+        state.dispatcher.set_wait_limit(now + max_wait);
         drop(state);
         // What this gateway knows of streams is handed over.
         self.streams_changed.notify_one();
@@ -293,9 +297,26 @@
         let _ = ended.wait_for(|ended| *ended).await;
     }
 
+    /// Cuts off the streams that have not ended, since the process is about to end.
+    pub(super) fn cut_off_streams(&self) {
+        self.process_ends.send_replace(true);
+    }
+
+    /// Waits until the process is about to end.
+    pub(super) async fn process_ends(&self) {
+        let mut ends = self.process_ends.subscribe();
+        // An error is impossible: the sender lives as long as `self`.
+        let _ = ends.wait_for(|ends| *ends).await;
+    }
+
     /// Whether a graceful shutdown has begun.
     pub fn is_shutting_down(&self) -> bool {
-        self.lock().shutting_down
+        self.stopped_at().is_some()
+    }
+
+    /// When a graceful shutdown began.
+    pub(super) fn stopped_at(&self) -> Option<Instant> {
+        self.lock().stopped_at
     }
 
     /// Records a failed request to the store. Returns whether the store was available
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -61,6 +61,8 @@
 pub const ORDERS: &str = "goldcrestpitch_orders_total";
 /// Log lines dropped because the reader of the log was too slow.
 pub const LOG_LINES_LEFT_OUT: &str = "goldcrestpitch_log_lines_left_out_total";
+/// Streams that the end of a gateway's process cut off.
+pub const CUT_OFF: &str = "goldcrestpitch_cut_off_streams_total";
 /// Crashes of endpoints that a gateway counted against a request or a segment of a prompt,
 /// one for each log line of a suspect.
 pub const SUSPECTED_CRASHES: &str = "goldcrestpitch_suspected_crashes_total";
