Refuse streams that the end of a planned stop may cut off

Cause: after the stop, a connection that was opened before is served for one more second, and a stream with a limit of 15 s was passed on with 4 s left. Change: once new connections go elsewhere, a stream whose limit lies beyond the end of the grace period gets 503 and `Connection: close` without having run; other requests are served, they get an error response at the end at the latest. Streams go on until 0.3 s before the kill instead of 0.6 s. Why it works: a stream that is passed on either began while the rule excuses it or ends within its limit. The test saw 200 and a cut stream before.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,4 +28,4 @@
 mod upstream;
 
 pub use process::{Gateway, GatewayConfig, Listeners, start};
-pub use shared::{Bounds, SharedState};
+pub use shared::{Bounds, SharedState, ShutdownPlan};
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -20,7 +20,7 @@
         limits::process_id,
         loop_probe, peers,
         quarantine_store::{QuarantineReader, save_reports},
-        shared::{Bounds, SharedState},
+        shared::{Bounds, SharedState, ShutdownPlan},
     },
     gossip::Socket,
     http::{self, HeaderLimits, StopSignal, stop_channel},
@@ -40,8 +40,8 @@
 const UNREADY_DELAY: Duration = Duration::from_millis(2600);
 /// Time before the end of the grace period at which the remaining requests are aborted.
 const ABORT_MARGIN: Duration = Duration::from_millis(900);
-/// Time to send the error responses of aborted requests.
-const ABORT_RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time to send the error responses of aborted requests, in which streams may still end.
+const ABORT_RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time in which streams that are cut off write their log lines.
 const CUT_OFF_TIME: Duration = Duration::from_millis(20);
 /// Share of the grace period in which requests may still wait for an endpoint.
@@ -168,11 +168,13 @@
     /// and then waits for the last response or the end of the grace period.
     pub async fn stop(self) {
         let grace = self.shared.bounds().grace.saturating_sub(ABORT_MARGIN);
-        self.shared.begin_shutdown(grace.mul_f64(WAIT_SHARE_OF_GRACE));
+        let accepts_until = UNREADY_DELAY.min(grace / 2);
+        let max_wait = grace.mul_f64(WAIT_SHARE_OF_GRACE);
+        self.shared.begin_shutdown(ShutdownPlan { max_wait, accepts_until, ends_at: grace });
         info!("event=leaving grace_ms={}", grace.as_millis());
         let mut server = self.server;
         let finish = async {
-            time::sleep(UNREADY_DELAY.min(grace / 2)).await;
+            time::sleep(accepts_until).await;
             self.stop.send_replace(true);
             // The result is ignored: a panic in the server ends the process anyway.
             let _ = (&mut server).await;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -134,6 +134,11 @@
     /// Makes attempts until there is a response or a refusal for the caller, or its time or the
     /// grace period of a shutdown is over.
     pub(super) async fn run(mut self) -> Reply {
+        // Other requests get an error response at the end of the grace period.
+        let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. });
+        if is_stream && self.shared.may_cut_off(Instant::now(), &self.limit) {
+            return self.refuse(&self.shuts_down_too_soon());
+        }
         let answer_by = self.limit.answer_by();
         let shared = self.shared.clone();
         let responded = tokio::select! {
@@ -259,6 +264,12 @@
         self.no_further_attempt(refusal)
     }
 
+    /// The refusal of a stream that a shutdown may cut off.
+    fn shuts_down_too_soon(&self) -> Refusal {
+        let text = "the gateway may end before the stream";
+        Refusal::new(Code::Draining, text).retry_after(Duration::ZERO)
+    }
+
     /// The refusal when the grace period of a shutdown is over before an endpoint responds.
     fn shut_down(&self) -> Refusal {
         let code = if self.runs == 0 { Code::Draining } else { Code::DeadlineExceeded };
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -15,7 +15,7 @@
         forwarding::{
             Decision, Dispatcher, Endpoint, EndpointRegistry, Locality, REREGISTRATION_GRACE,
             RefusalReason, Requirements, RetryBudget, RetryShare, Route, RouteTable, ServiceName,
-            Ticket,
+            Ticket, TimeLimit,
         },
         ids::{CrashId, EndpointId, VersionId},
         limits::LoopLag,
@@ -45,6 +45,17 @@
     pub grace: Duration,
 }
 
+/// The stages of a graceful shutdown, each by the time since it began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShutdownPlan {
+    /// Until when requests may wait for an endpoint.
+    pub max_wait: Duration,
+    /// Until when the load balancer may open new connections.
+    pub accepts_until: Duration,
+    /// When the grace period is over.
+    pub ends_at: Duration,
+}
+
 /// Crashes of endpoints after which a request must no longer be run, by the platform's
 /// rules.
 const MAX_CRASHES: usize = 3;
@@ -72,8 +83,8 @@
     pending: HashMap<Ticket, oneshot::Sender<EndpointChoice>>,
     store_unavailable: bool,
     store_recovered_at: Option<Instant>,
-    // When a graceful shutdown began.
-    stopped_at: Option<Instant>,
+    // A graceful shutdown and when it began.
+    shutdown: Option<(Instant, ShutdownPlan)>,
     // Suspects whose crashes are in the store.
     pub(super) saved_reports: HashSet<Suspect>,
     // Suspects whose crashes changed here and have yet to be written to the store.
@@ -150,7 +161,7 @@
             pending: HashMap::new(),
             store_unavailable: false,
             store_recovered_at: None,
-            stopped_at: None,
+            shutdown: None,
             saved_reports: HashSet::new(),
             unsaved_reports: HashSet::new(),
             knows_quarantines: false,
@@ -270,16 +281,15 @@
     /// Whether the gateway accepts new connections.
     pub fn is_ready(&self) -> bool {
         let state = self.lock();
-        state.table.is_some() && state.stopped_at.is_none()
+        state.table.is_some() && state.shutdown.is_none()
     }
 
-    /// Begins a graceful shutdown. From now on, requests wait at most `max_wait` for an
-    /// endpoint.
-    pub fn begin_shutdown(&self, max_wait: Duration) {
+    /// Begins a graceful shutdown.
+    pub fn begin_shutdown(&self, plan: ShutdownPlan) {
         let mut state = self.lock();
         let now = Instant::now();
-        state.stopped_at = Some(now);
-        state.dispatcher.set_wait_limit(now + max_wait);
+        state.shutdown = Some((now, plan));
+        state.dispatcher.set_wait_limit(now + plan.max_wait);
         drop(state);
         // What this gateway knows of streams is handed over.
         self.streams_changed.notify_one();
@@ -316,7 +326,16 @@
 
     /// When a graceful shutdown began.
     pub(super) fn stopped_at(&self) -> Option<Instant> {
-        self.lock().stopped_at
+        self.lock().shutdown.map(|(began, _)| began)
+    }
+
+    /// Whether a stream with this limit, not passed on yet, comes so late in a graceful shutdown
+    /// that the end of the process may cut it off. While the load balancer still opens
+    /// connections here, refusing it is no better: its caller may come back.
+    pub(super) fn may_cut_off(&self, now: Instant, limit: &TimeLimit) -> bool {
+        self.lock().shutdown.is_some_and(|(began, plan)| {
+            began + plan.accepts_until <= now && began + plan.ends_at < limit.answer_by()
+        })
     }
 
     /// Records a failed request to the store. Returns whether the store was available
--- a/tests/gateway/drain.rs
+++ b/tests/gateway/drain.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use goldcrestpitch::gateway::ShutdownPlan;
 use tokio::{io::AsyncWriteExt, net::TcpStream, time};
 
 use crate::{
     run,
-    scripted_endpoint::{ScriptedEndpoint, Step, healthy_endpoint, http_response},
+    scripted_endpoint::{
+        ScriptedEndpoint, Step, chunk, events, healthy_endpoint, http_response, stream_head,
+    },
     test_gateway::{TestGateway, http_request, read_response},
 };
 
@@ -229,3 +232,57 @@
         stopping.await.unwrap();
     });
 }
+
+/// The first request of a connection came after new connections had gone elsewhere: its stream was
+/// passed on and cut off at the end of the grace period.
+#[test]
+fn stream_that_the_end_of_a_shutdown_may_cut_off_is_refused() {
+    run(async {
+        let endpoint = ScriptedEndpoint::start(|request| match request.path.as_str() {
+            "/stream/1" => vec![stream_head(request.id()), chunk(&events(0..1)), Step::Hang],
+            _ => http_response("200 OK", request.id(), "fine"),
+        })
+        .await;
+        let gateway = TestGateway::start(&[&endpoint]).await;
+        let mut streaming = gateway.connect().await;
+        let mut reading = gateway.connect().await;
+        let plan = ShutdownPlan {
+            max_wait: Duration::from_secs(60),
+            accepts_until: Duration::ZERO,
+            ends_at: Duration::from_secs(1),
+        };
+        gateway.process.shared().begin_shutdown(plan);
+        // The route allows 1.5 s.
+        streaming.write_all(http_request("POST", "/stream/1", "", "").as_bytes()).await.unwrap();
+        let refused = read_response(&mut streaming, &mut Vec::new()).await;
+        assert_eq!((refused.status, refused.complete), (503, true));
+        assert_eq!(refused.header("connection"), Some("close"));
+        assert_eq!(refused.header("retry-after"), Some("0.00"));
+        // It gets an error response at the end at the latest.
+        let read = http_request("GET", "/read/1", "x-request-id: q1\r\n", "");
+        reading.write_all(read.as_bytes()).await.unwrap();
+        assert_eq!(read_response(&mut reading, &mut Vec::new()).await.status, 200);
+        assert!(endpoint.requests().iter().all(|r| r.path == "/read/1"));
+    });
+}
+
+/// A planned stop gives up no stream that ends before the process does.
+#[test]
+fn stream_from_before_a_shutdown_is_not_refused() {
+    run(async {
+        let endpoint = ScriptedEndpoint::start(|request| {
+            vec![stream_head(request.id()), chunk(&events(0..1)), Step::Hang]
+        })
+        .await;
+        let gateway = TestGateway::start(&[&endpoint]).await;
+        let plan = ShutdownPlan {
+            max_wait: Duration::from_secs(60),
+            accepts_until: Duration::from_secs(60),
+            ends_at: Duration::from_secs(1),
+        };
+        gateway.process.shared().begin_shutdown(plan);
+        let mut socket = gateway.connect().await;
+        socket.write_all(http_request("POST", "/stream/1", "", "").as_bytes()).await.unwrap();
+        endpoint.wait_for_requests(1).await;
+    });
+}
