Order schedules draw their random changes in one function

Cause: the schedule with restarts copied the draw of the other one. Change: request_random_change serves both; the draws keep their order, so each seed plays the same schedule, and no assertion changes.

--- a/tests/placement/order_scheduler.rs
+++ b/tests/placement/order_scheduler.rs
@@ -154,6 +154,17 @@
     }
 }
 
+fn request_random_change(rng: &mut fastrand::Rng, now: Instant, scheduler: &mut OrderScheduler) {
+    let (model, _) = MODELS[rng.usize(..MODELS.len())];
+    let adapter = rng.bool().then(|| ["x", "y", "z", "u"][rng.usize(..4)].into());
+    let (source, operation) = match (&adapter, rng.u8(..4)) {
+        (None, 0) => (ChangeSource::Planner, Operation::Unload),
+        (None, _) => (ChangeSource::Planner, Operation::Load),
+        (Some(_), _) => (ChangeSource::Request, Operation::Load),
+    };
+    scheduler.request_change(now, source, operation, model.into(), adapter);
+}
+
 /// Runs random change requests. `lost_percent` of the orders get no answer and are
 /// executed late.
 fn run_schedule(seed: u64, lost_percent: u8) -> Engine {
@@ -167,14 +178,7 @@
         let now = start + Duration::from_millis(50 * step);
         engine.tick(now);
         if rng.u8(..100) < 30 {
-            let (model, _) = MODELS[rng.usize(..MODELS.len())];
-            let adapter = rng.bool().then(|| ["x", "y", "z", "u"][rng.usize(..4)].into());
-            let (source, operation) = match (&adapter, rng.u8(..4)) {
-                (None, 0) => (ChangeSource::Planner, Operation::Unload),
-                (None, _) => (ChangeSource::Planner, Operation::Load),
-                (Some(_), _) => (ChangeSource::Request, Operation::Load),
-            };
-            scheduler.request_change(now, source, operation, model.into(), adapter);
+            request_random_change(&mut rng, now, &mut scheduler);
         }
         scheduler.handle_report(now, engine.report());
         let Some(order) = scheduler.next_order(now) else { continue };
@@ -224,14 +228,7 @@
             scheduler.set_endpoint(now, registered.0.as_str().into(), registered.1);
         }
         if rng.u8(..100) < 30 {
-            let (model, _) = MODELS[rng.usize(..MODELS.len())];
-            let adapter = rng.bool().then(|| ["x", "y", "z", "u"][rng.usize(..4)].into());
-            let (source, operation) = match (&adapter, rng.u8(..4)) {
-                (None, 0) => (ChangeSource::Planner, Operation::Unload),
-                (None, _) => (ChangeSource::Planner, Operation::Load),
-                (Some(_), _) => (ChangeSource::Request, Operation::Load),
-            };
-            scheduler.request_change(now, source, operation, model.into(), adapter);
+            request_random_change(&mut rng, now, &mut scheduler);
         }
         scheduler.handle_report(now, engine.report());
         // In the real process the gateway that requests a change names the engine.
