Log where a configuration version comes from, and which reads of the store fail

Cause: the logs could not tell the hypotheses on late versions apart: neither the source nor the offset of a version, nor which topic of the store fails, nor that the store has returned from an older copy (header Store-Era, read by nothing before). Change: reads carry a position of era and offset; lines configuration, read_failed, read_again, store_went_back, quarantine_saved. No logic changes.

--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -25,7 +25,7 @@
         rotating_subset,
     },
     platform::{
-        CONFIG_KEY, CONFIGURATION, EngineClient, KeyedRecord, STATUS, Store, Topic,
+        CONFIG_KEY, CONFIGURATION, EngineClient, KeyedRecord, Position, STATUS, Store, Topic,
         decode_configuration,
     },
     telemetry::names,
@@ -159,11 +159,11 @@
     const MAX_WAIT: Duration = CONFIGURATION_WAIT;
     const READ_PAUSE: Duration = Duration::from_millis(500);
 
-    fn replace(&mut self, records: Vec<KeyedRecord>) {
-        self.update(records);
+    fn replace(&mut self, records: Vec<KeyedRecord>, next: Position) {
+        self.update(records, next);
     }
 
-    fn update(&mut self, records: Vec<KeyedRecord>) {
+    fn update(&mut self, records: Vec<KeyedRecord>, _next: Position) {
         let newest = records.into_iter().filter(|r| r.key == CONFIG_KEY).filter_map(|r| r.value);
         let Some(text) = newest.last() else { return };
         let table = match decode_configuration(&text) {
@@ -186,9 +186,10 @@
     loop {
         counter!(names::STORE_CALLS).increment(1);
         match store.put(STATUS, key, value.as_bytes()).await {
-            Ok(offset) => {
-                info!("event=fencing_token offset={offset}");
-                return shared.lock().order_scheduler.set_fence((offset + 1) * TOKENS_PER_START);
+            Ok(position) => {
+                info!("event=fencing_token position={position}");
+                let fence = (position.offset + 1) * TOKENS_PER_START;
+                return shared.lock().order_scheduler.set_fence(fence);
             }
             Err(err) => {
                 warn!("event=no_fencing_token error=\"{err}\"");
--- a/src/fleet/topic.rs
+++ b/src/fleet/topic.rs
@@ -1,13 +1,13 @@
 //! Follows a keyed topic of the platform's store.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use log::info;
+use log::{info, warn};
 use metrics::counter;
 use tokio::time;
 
 use crate::{
-    platform::{KeyedRecord, Store, StoreError, Topic},
+    platform::{KeyedRecord, Position, Store, StoreError, Topic},
     telemetry::names,
 };
 
@@ -26,10 +26,11 @@
     const READ_PAUSE: Duration;
 
     /// Replaces everything known: the newest record of each key, at the start and after
-    /// records were missed.
-    fn replace(&mut self, records: Vec<KeyedRecord>);
-    /// Applies the records that were appended since the last read.
-    fn update(&mut self, records: Vec<KeyedRecord>);
+    /// records were missed. The next read begins at `next`.
+    fn replace(&mut self, records: Vec<KeyedRecord>, next: Position);
+    /// Applies the records that were appended since the last read. The next read begins at
+    /// `next`.
+    fn update(&mut self, records: Vec<KeyedRecord>, next: Position);
     /// The store answered. Called before the records of that answer are passed on.
     fn store_answered(&mut self) {}
     /// The store did not answer or rejected the request.
@@ -38,13 +39,30 @@
 
 /// Passes the records of a topic to a handler until the task is aborted.
 pub async fn follow_topic<T: TopicHandler>(store: Store, mut handler: T) {
-    let mut next = None;
+    let mut next: Option<Position> = None;
     let mut failures = 0;
+    let mut last_answer = Instant::now();
     loop {
         match read_next(&store, &mut handler, next).await {
-            Ok(offset) => {
-                next = Some(offset);
+            Ok(position) => {
+                if next.is_some_and(|next| next.era != position.era) {
+                    let before = next.unwrap_or_default();
+                    warn!(
+                        "event=store_went_back topic={} before={before} next={position}",
+                        T::TOPIC
+                    );
+                }
+                if 0 < failures {
+                    let silent_ms = last_answer.elapsed().as_millis();
+                    info!(
+                        "event=read_again topic={} failures={failures} silent_ms={silent_ms} \
+                         next={position}",
+                        T::TOPIC
+                    );
+                }
+                next = Some(position);
                 failures = 0;
+                last_answer = Instant::now();
                 time::sleep(T::READ_PAUSE).await;
             }
             Err(StoreError::Expired { first }) => {
@@ -53,6 +71,14 @@
             }
             Err(err) => {
                 failures += 1;
+                if failures == 1 {
+                    let silent_ms = last_answer.elapsed().as_millis();
+                    info!(
+                        "event=read_failed topic={} silent_ms={silent_ms} next={} error=\"{err}\"",
+                        T::TOPIC,
+                        next.unwrap_or_default()
+                    );
+                }
                 handler.store_failed(&err);
                 counter!(names::STORE_FAILURES).increment(1);
                 time::sleep(backoff(failures)).await;
@@ -64,18 +90,18 @@
 async fn read_next<T: TopicHandler>(
     store: &Store,
     handler: &mut T,
-    next: Option<u64>,
-) -> Result<u64, StoreError> {
+    next: Option<Position>,
+) -> Result<Position, StoreError> {
     counter!(names::STORE_CALLS).increment(1);
     let Some(from) = next else {
         let newest = store.newest_records(T::TOPIC).await?;
         handler.store_answered();
-        handler.replace(newest.records);
+        handler.replace(newest.records, newest.next);
         return Ok(newest.next);
     };
-    let page = store.read_keyed(T::TOPIC, from, T::MAX_WAIT).await?;
+    let page = store.read_keyed(T::TOPIC, from.offset, T::MAX_WAIT).await?;
     handler.store_answered();
-    handler.update(page.records);
+    handler.update(page.records, page.next);
     Ok(page.next)
 }
 
--- a/src/gateway/bootstrap.rs
+++ b/src/gateway/bootstrap.rs
@@ -13,9 +13,8 @@
 use tokio::time;
 
 use crate::{
-    fleet::TopicHandler,
     gateway::{
-        follow::{EndpointUpdater, RouteUpdater},
+        follow::{EndpointUpdater, RecordSource, RouteUpdater},
         shared::SharedState,
     },
     gossip::{CachedRecord, CachedRecords},
@@ -102,8 +101,9 @@
     let registrations: Vec<KeyedRecord> =
         records.registrations.into_iter().map(|r| keyed(&r.key, r.value)).collect();
     let count = registrations.len();
-    EndpointUpdater::new(shared.clone()).update(registrations);
-    RouteUpdater { shared: shared.clone() }.update(vec![keyed(CONFIG_KEY, records.configuration)]);
+    EndpointUpdater::new(shared.clone()).apply(registrations);
+    let configuration = vec![keyed(CONFIG_KEY, records.configuration)];
+    RouteUpdater { shared: shared.clone() }.apply(configuration, &RecordSource::Gateway(other));
     if let Some(version) = shared.version() {
         info!("event=known_from_peer at={other} version={version} endpoints={count}");
     }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -2,6 +2,8 @@
 
 use std::{
     collections::{BTreeMap, HashSet},
+    fmt,
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -15,7 +17,7 @@
     fleet::TopicHandler,
     gateway::shared::SharedState,
     platform::{
-        CONFIG_KEY, CONFIGURATION, KeyedRecord, REGISTRATIONS, StoreError, Topic,
+        CONFIG_KEY, CONFIGURATION, KeyedRecord, Position, REGISTRATIONS, StoreError, Topic,
         decode_configuration, decode_registration,
     },
     telemetry::names,
@@ -30,22 +32,33 @@
 const REGISTRATION_PAUSE: Duration = Duration::from_millis(800);
 const REGISTRATION_WAIT: Duration = Duration::ZERO;
 
+/// Where records come from, as log lines show it.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum RecordSource {
+    /// The store; where the next read begins.
+    Store(Position),
+    /// Another gateway.
+    Gateway(SocketAddr),
+}
+
+impl fmt::Display for RecordSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store(next) => write!(f, "store next={next}"),
+            Self::Gateway(address) => write!(f, "{address} next=-"),
+        }
+    }
+}
+
 /// Updates the routes from the operator's configuration.
 #[derive(Debug)]
 pub(super) struct RouteUpdater {
     pub(super) shared: Arc<SharedState>,
 }
 
-impl TopicHandler for RouteUpdater {
-    const TOPIC: Topic = CONFIGURATION;
-    const MAX_WAIT: Duration = CONFIGURATION_WAIT;
-    const READ_PAUSE: Duration = Duration::ZERO;
-
-    fn replace(&mut self, records: Vec<KeyedRecord>) {
-        self.update(records);
-    }
-
-    fn update(&mut self, records: Vec<KeyedRecord>) {
+impl RouteUpdater {
+    /// Applies the newest version among the records, unless a newer one is in force.
+    pub(super) fn apply(&mut self, records: Vec<KeyedRecord>, source: &RecordSource) {
         let versions = records.into_iter().filter(|r| r.key == CONFIG_KEY);
         // Only the newest version is decoded, so that a burst of changes stays cheap.
         let Some(text) = versions.filter_map(|r| r.value).last() else { return };
@@ -56,14 +69,33 @@
                 if current.is_some_and(|current| table.version <= current) {
                     return;
                 }
-                info!("event=configuration version={} before={current:?}", table.version);
+                info!(
+                    "event=configuration version={} before={current:?} source={source}",
+                    table.version
+                );
                 gauge!(names::REVISION).set(table.version as f64);
                 state.table = Some(Arc::new(table));
                 state.cache.configuration = Some(text);
             }
-            Err(err) => warn!("event=configuration_unreadable error=\"{err}\""),
+            Err(err) => {
+                warn!("event=configuration_unreadable source={source} error=\"{err}\"");
+            }
         }
     }
+}
+
+impl TopicHandler for RouteUpdater {
+    const TOPIC: Topic = CONFIGURATION;
+    const MAX_WAIT: Duration = CONFIGURATION_WAIT;
+    const READ_PAUSE: Duration = Duration::ZERO;
+
+    fn replace(&mut self, records: Vec<KeyedRecord>, next: Position) {
+        self.update(records, next);
+    }
+
+    fn update(&mut self, records: Vec<KeyedRecord>, next: Position) {
+        self.apply(records, &RecordSource::Store(next));
+    }
 
     fn store_answered(&mut self) {
         record_answer(&self.shared, Self::TOPIC);
@@ -98,35 +130,9 @@
             }
         }
     }
-}
-
-impl TopicHandler for EndpointUpdater {
-    const TOPIC: Topic = REGISTRATIONS;
-    const MAX_WAIT: Duration = REGISTRATION_WAIT;
-    const READ_PAUSE: Duration = REGISTRATION_PAUSE;
 
-    fn replace(&mut self, records: Vec<KeyedRecord>) {
-        let values: BTreeMap<String, Bytes> =
-            records.into_iter().filter_map(|r| r.value.map(|v| (r.key, v))).collect();
-        let all: Vec<_> = values.iter().filter_map(|(k, v)| self.decode(k, v)).collect();
-        info!("event=registrations endpoints={}", all.len());
-        let now = Instant::now();
-        let mut guard = self.shared.lock();
-        let state = &mut *guard;
-        let after_outage = state.is_after_outage(now);
-        let counted: Vec<_> = all.iter().flat_map(|new| state.record_restart(now, new)).collect();
-        state.registry.replace(now, all, after_outage);
-        state.versions.record_gap();
-        state.record_versions(now);
-        state.cache.registrations = values;
-        state.dispatcher.retain_registered(&state.registry);
-        drop(guard);
-        if !counted.is_empty() {
-            self.shared.publish_crashes(&counted);
-        }
-    }
-
-    fn update(&mut self, records: Vec<KeyedRecord>) {
+    /// Applies changes of registrations.
+    pub(super) fn apply(&mut self, records: Vec<KeyedRecord>) {
         let now = Instant::now();
         for record in records {
             let change = match &record.value {
@@ -160,6 +166,37 @@
         state.record_versions(now);
         state.dispatcher.retain_registered(&state.registry);
     }
+}
+
+impl TopicHandler for EndpointUpdater {
+    const TOPIC: Topic = REGISTRATIONS;
+    const MAX_WAIT: Duration = REGISTRATION_WAIT;
+    const READ_PAUSE: Duration = REGISTRATION_PAUSE;
+
+    fn replace(&mut self, records: Vec<KeyedRecord>, next: Position) {
+        let values: BTreeMap<String, Bytes> =
+            records.into_iter().filter_map(|r| r.value.map(|v| (r.key, v))).collect();
+        let all: Vec<_> = values.iter().filter_map(|(k, v)| self.decode(k, v)).collect();
+        info!("event=registrations endpoints={} next={next}", all.len());
+        let now = Instant::now();
+        let mut guard = self.shared.lock();
+        let state = &mut *guard;
+        let after_outage = state.is_after_outage(now);
+        let counted: Vec<_> = all.iter().flat_map(|new| state.record_restart(now, new)).collect();
+        state.registry.replace(now, all, after_outage);
+        state.versions.record_gap();
+        state.record_versions(now);
+        state.cache.registrations = values;
+        state.dispatcher.retain_registered(&state.registry);
+        drop(guard);
+        if !counted.is_empty() {
+            self.shared.publish_crashes(&counted);
+        }
+    }
+
+    fn update(&mut self, records: Vec<KeyedRecord>, _next: Position) {
+        self.apply(records);
+    }
 
     fn store_answered(&mut self) {
         record_answer(&self.shared, Self::TOPIC);
--- a/src/gateway/quarantine_store.rs
+++ b/src/gateway/quarantine_store.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use log::warn;
+use log::{info, warn};
 use metrics::counter;
 use prost::{Message, UnknownEnumValue};
 use tokio::time;
@@ -19,7 +19,7 @@
         suspects::Label,
     },
     gossip::CrashReport,
-    platform::{KeyedRecord, QUARANTINE, Store, Topic},
+    platform::{KeyedRecord, Position, QUARANTINE, Store, Topic},
     telemetry::names,
 };
 
@@ -66,12 +66,12 @@
     const MAX_WAIT: Duration = MAX_WAIT;
     const READ_PAUSE: Duration = Duration::ZERO;
 
-    fn replace(&mut self, records: Vec<KeyedRecord>) {
+    fn replace(&mut self, records: Vec<KeyedRecord>, _next: Position) {
         self.shared.lock().saved_reports.clear();
         self.merge(records);
     }
 
-    fn update(&mut self, records: Vec<KeyedRecord>) {
+    fn update(&mut self, records: Vec<KeyedRecord>, _next: Position) {
         self.merge(records);
     }
 }
@@ -87,12 +87,16 @@
         let report = shared.lock().report_to_save(suspect);
         let value = report.clone().map(|r| r.encode_to_vec()).unwrap_or_default();
         counter!(names::STORE_CALLS).increment(1);
-        if let Err(err) = store.put(QUARANTINE, &key(suspect), &value).await {
-            counter!(names::STORE_FAILURES).increment(1);
-            warn!("event=quarantine_unsaved suspect={} error=\"{err}\"", Label(Some(suspect)));
-            time::sleep(RETRY_DELAY).await;
-            continue;
-        }
+        let position = match store.put(QUARANTINE, &key(suspect), &value).await {
+            Ok(position) => position,
+            Err(err) => {
+                counter!(names::STORE_FAILURES).increment(1);
+                warn!("event=quarantine_unsaved suspect={} error=\"{err}\"", Label(Some(suspect)));
+                time::sleep(RETRY_DELAY).await;
+                continue;
+            }
+        };
+        info!("event=quarantine_saved suspect={} position={position}", Label(Some(suspect)));
         let mut state = shared.lock();
         // It may have changed during the call.
         if state.report_to_save(suspect) == report {
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -101,12 +101,29 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Bytes, ClientError> {
+        Ok(self.call_with_head(method, path, headers, body, timeout).await?.into_body())
+    }
+
+    /// Like [`Self::call`], with the head of the response.
+    ///
+    /// # Errors
+    /// Any [`ClientError`]; a status other than 2xx is [`ClientError::Status`].
+    pub async fn call_with_head(
+        &self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Response<Bytes>, ClientError> {
         let exchange = async {
-            let response = self.send(method, path, headers, body).await?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
+            let (head, body) = self.send(method, path, headers, body).await?.into_parts();
+            let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
             let body = body.map_err(|err| ClientError::NoResponse(err.to_string()))?.to_bytes();
-            if status.is_success() { Ok(body) } else { Err(ClientError::Status(status, body)) }
+            match head.status.is_success() {
+                true => Ok(Response::from_parts(head, body)),
+                false => Err(ClientError::Status(head.status, body)),
+            }
         };
         let result = time::timeout(timeout, exchange).await;
         result.map_err(|_| ClientError::NoResponse(format!("timed out after {timeout:?}")))?
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -33,7 +33,7 @@
 
 impl Log for Store {
     async fn append(&self, stream: &str, payload: Bytes) -> Result<Offset, AppendError> {
-        Ok(self.append_record(stream, &payload).await? + FIRST_OFFSET)
+        Ok(self.append_record(stream, &payload).await?.offset + FIRST_OFFSET)
     }
 
     async fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<Page, ReadError> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -20,8 +20,8 @@
 pub use headers::{NotRunReason, READY_PATH};
 pub use registration::decode_registration;
 pub use store::{
-    CONFIGURATION, KeyedRecord, NewestRecords, QUARANTINE, REGISTRATIONS, ReadPage, STATUS, Store,
-    StoreError, Topic,
+    CONFIGURATION, KeyedRecord, NewestRecords, Position, QUARANTINE, REGISTRATIONS, ReadPage,
+    STATUS, Store, StoreEra, StoreError, Topic,
 };
 
 use std::fmt;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,7 +3,7 @@
 use std::{fmt, net::SocketAddr, time::Duration};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use hyper::{HeaderMap, Method, StatusCode};
+use hyper::{HeaderMap, Method, Response, StatusCode, header::HeaderName};
 use serde::Deserialize;
 
 use crate::http::{Client, ClientError};
@@ -20,6 +20,11 @@
 /// Topic of the status records of the system's own processes.
 pub const STATUS: Topic = "keyed.status";
 
+/// How many times the store has returned from an older copy of its records. After that, it
+/// gives out the offsets of the records that it lost to others.
+pub type StoreEra = u64;
+
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 /// Time limit of a call, in addition to the wait that it requests. A healthy store
 /// answers within a few milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -101,13 +106,28 @@
     pub value: Option<Bytes>,
 }
 
+/// An offset of a topic, which is valid in one era of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Position {
+    /// Number of a record, counted from 0.
+    pub offset: u64,
+    /// The era in which the store named the offset.
+    pub era: StoreEra,
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.era, self.offset)
+    }
+}
+
 /// Records of a keyed topic from an offset on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReadPage {
     /// The records in the order of their offsets.
     pub records: Vec<KeyedRecord>,
-    /// Offset from which to read next.
-    pub next: u64,
+    /// Where to read next.
+    pub next: Position,
 }
 
 /// Records of a topic, not decoded.
@@ -117,6 +137,8 @@
     pub end: u64,
     /// The oldest retained offset.
     pub first: u64,
+    /// The era of the store.
+    pub era: StoreEra,
     /// The records in the order of their offsets.
     pub records: Vec<Bytes>,
 }
@@ -126,9 +148,9 @@
 pub struct NewestRecords {
     /// One record for each key.
     pub records: Vec<KeyedRecord>,
-    /// Offset from which to read next. It is the end of the topic at the first page, so
-    /// that no change made while the other pages were read is missed.
-    pub next: u64,
+    /// Where to read next: the end of the topic at the first page, so that no change made
+    /// while the other pages were read is missed.
+    pub next: Position,
 }
 
 #[derive(Deserialize)]
@@ -185,7 +207,7 @@
         wait: Duration,
     ) -> Result<ReadPage, StoreError> {
         let page = self.read_raw(topic, from, wait).await?;
-        let next = from + page.records.len() as u64;
+        let next = Position { offset: from + page.records.len() as u64, era: page.era };
         let records = page.records.into_iter().filter_map(decode_keyed).collect();
         Ok(ReadPage { records, next })
     }
@@ -204,8 +226,9 @@
         let path = format!("/-/log-read?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}");
         let headers = HeaderMap::new();
         let timeout = wait + CALL_TIMEOUT;
-        let body = self.client.call(Method::GET, &path, headers, Bytes::new(), timeout).await?;
-        split_records(body)
+        let call = self.client.call_with_head(Method::GET, &path, headers, Bytes::new(), timeout);
+        let (era, body) = era_and_body(call.await?)?;
+        split_records(era, body)
     }
 
     /// Reads the newest record of each key of a topic.
@@ -218,8 +241,12 @@
         let mut after = String::new();
         loop {
             let path = format!("/-/log-newest?Topic={topic}&part=0{after}");
-            let page: NewestPageWire = self.client.get_json(&path, CALL_TIMEOUT).await?;
-            let next = *next.get_or_insert(page.end);
+            let (headers, body) = (HeaderMap::new(), Bytes::new());
+            let call = self.client.call_with_head(Method::GET, &path, headers, body, CALL_TIMEOUT);
+            let (era, body) = era_and_body(call.await?)?;
+            let page: Result<NewestPageWire, _> = serde_json::from_slice(&body);
+            let page = page.map_err(|err| StoreError::Malformed(err.to_string()))?;
+            let next = *next.get_or_insert(Position { offset: page.end, era });
             let last = page.items.last().map(|item| item.key.clone());
             records.extend(page.items.into_iter().filter_map(decode_item));
             match last {
@@ -229,11 +256,11 @@
         }
     }
 
-    /// Appends a record under a key and returns its offset.
+    /// Appends a record under a key and returns its position.
     ///
     /// # Errors
     /// After [`StoreError::NoAnswer`] the record may have been appended, or may still be.
-    pub async fn put(&self, topic: Topic, key: &str, value: &[u8]) -> Result<u64, StoreError> {
+    pub async fn put(&self, topic: Topic, key: &str, value: &[u8]) -> Result<Position, StoreError> {
         if MAX_KEY_BYTES < key.len() {
             return Err(StoreError::Malformed(format!(
                 "key {key:?} is longer than {MAX_KEY_BYTES} bytes"
@@ -246,28 +273,43 @@
         self.append_record(topic, &record).await
     }
 
-    /// Appends a record to a topic and returns its offset.
+    /// Appends a record to a topic and returns its position.
     ///
     /// # Errors
     /// As for [`Self::put`].
-    pub async fn append_record(&self, topic: &str, record: &[u8]) -> Result<u64, StoreError> {
+    pub async fn append_record(&self, topic: &str, record: &[u8]) -> Result<Position, StoreError> {
         let mut body = BytesMut::with_capacity(RECORD_LENGTH_BYTES + record.len());
         body.put_u32(record.len() as u32);
         body.put_slice(record);
         let path = format!("/-/log-append?Topic={}&part=0", percent_encode(topic));
         let headers = HeaderMap::new();
-        let call = self.client.call(Method::POST, &path, headers, body.freeze(), CALL_TIMEOUT);
-        let reply: Result<AppendWire, _> = serde_json::from_slice(&call.await?);
-        reply.map(|r| r.offset).map_err(|err| StoreError::Malformed(err.to_string()))
+        let body = body.freeze();
+        let call = self.client.call_with_head(Method::POST, &path, headers, body, CALL_TIMEOUT);
+        let (era, body) = era_and_body(call.await?)?;
+        let reply: Result<AppendWire, _> = serde_json::from_slice(&body);
+        let reply = reply.map_err(|err| StoreError::Malformed(err.to_string()))?;
+        Ok(Position { offset: reply.offset, era })
     }
 }
 
-fn split_records(mut body: Bytes) -> Result<RawPage, StoreError> {
+/// Splits off the era that an answer names; 0 if it names none.
+fn era_and_body(response: Response<Bytes>) -> Result<(StoreEra, Bytes), StoreError> {
+    let era = match response.headers().get(STORE_ERA) {
+        None => 0,
+        Some(value) => {
+            let number = value.to_str().ok().and_then(|v| v.trim().parse().ok());
+            number.ok_or_else(|| StoreError::Malformed(format!("unreadable era {value:?}")))?
+        }
+    };
+    Ok((era, response.into_body()))
+}
+
+fn split_records(era: StoreEra, mut body: Bytes) -> Result<RawPage, StoreError> {
     let truncated = || StoreError::Malformed("the answer ends within a record".to_owned());
     if body.len() < PAGE_HEADER_BYTES {
         return Err(truncated());
     }
-    let mut page = RawPage { end: body.get_u64(), first: body.get_u64(), records: Vec::new() };
+    let mut page = RawPage { end: body.get_u64(), first: body.get_u64(), era, records: Vec::new() };
     while RECORD_LENGTH_BYTES <= body.len() {
         let length = body.get_u32() as usize;
         if body.len() < length {
