Tests of a store that goes back to an older copy or turns a gateway away, red

Five tests against the stand-in of the store, which can now be copied, restored with a new Store-Era, and closed to the callers of one listener; a read beyond its end gets 410.

--- a/src/fakes/log.rs
+++ b/src/fakes/log.rs
@@ -47,10 +47,28 @@
     }
 }
 
+/// How the log treats the callers of one listener.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Access {
+    /// It serves them.
+    #[default]
+    Open,
+    /// It rejects their calls.
+    Rejected,
+    /// It does not answer them.
+    Silent,
+}
+
+/// A copy of all records of a log.
+#[derive(Clone, Debug)]
+pub struct LogCopy {
+    streams: HashMap<String, Stream>,
+}
+
 /// Key, value and offset of a record.
 type KeyedItem = (String, Bytes, u64);
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Stream {
     first: Offset,
     records: VecDeque<Bytes>,
@@ -68,6 +86,8 @@
     rng: fastrand::Rng,
     append_rate: TokenBucket,
     streams: HashMap<String, Stream>,
+    // How many times the log has returned from a copy.
+    era: u64,
     appends: u64,
     reads: u64,
     bytes_read: u64,
@@ -78,6 +98,7 @@
 pub struct FakeLog {
     inner: Arc<Mutex<LogInner>>,
     appended: Arc<Notify>,
+    access: Arc<Mutex<Access>>,
 }
 
 impl FakeLog {
@@ -89,11 +110,41 @@
             rng: fastrand::Rng::with_seed(seed),
             append_rate,
             streams: HashMap::new(),
+            era: 0,
             appends: 0,
             reads: 0,
             bytes_read: 0,
         };
-        Self { inner: Arc::new(Mutex::new(inner)), appended: Arc::new(Notify::new()) }
+        Self {
+            inner: Arc::new(Mutex::new(inner)),
+            appended: Arc::new(Notify::new()),
+            access: Arc::default(),
+        }
+    }
+
+    /// The same log, with an [`Access`] of its own for the listeners that it serves.
+    pub fn with_own_access(&self) -> Self {
+        Self { access: Arc::default(), ..self.clone() }
+    }
+
+    /// Changes how the log treats the callers of its listeners, those that wait included.
+    pub fn set_access(&self, access: Access) {
+        *self.access.lock().unwrap_or_else(PoisonError::into_inner) = access;
+    }
+
+    /// Copies all records.
+    pub fn copy(&self) -> LogCopy {
+        LogCopy { streams: self.lock().streams.clone() }
+    }
+
+    /// Replaces all records by those of an older copy, so that offsets are given out again.
+    /// Reads that wait fail.
+    pub fn restore(&self, copy: LogCopy) {
+        let mut inner = self.lock();
+        inner.streams = copy.streams;
+        inner.era += 1;
+        drop(inner);
+        self.appended.notify_waiters();
     }
 
     /// Changes the faults and limits.
@@ -119,7 +170,17 @@
     pub async fn serve(self, listener: TcpListener, stop: Stop) {
         let handler = move |req| {
             let log = self.clone();
-            async move { log.handle(req).await }
+            async move {
+                let reply = log.handle(req).await;
+                let access = *log.access.lock().unwrap_or_else(PoisonError::into_inner);
+                let mut reply = match access {
+                    Access::Open => reply?,
+                    Access::Rejected => http::text(StatusCode::SERVICE_UNAVAILABLE, "rejected"),
+                    Access::Silent => std::future::pending().await,
+                };
+                reply.headers_mut().insert("store-era", log.lock().era.into());
+                Ok(reply)
+            }
         };
         http::serve(listener, handler, stop).await;
     }
@@ -237,6 +298,9 @@
         if from < first {
             return Err(ReadError::Expired { first });
         }
+        if stream.end() < from {
+            return Err(ReadError::Expired { first });
+        }
         let skip = (from - first) as usize;
         let payloads = stream.records.iter().skip(skip).take(MAX_RECORDS_PER_READ);
         let records: Vec<LogRecord> = payloads
@@ -283,7 +347,11 @@
         let delay = self.lock().faults.delay;
         time::sleep(delay).await;
         let deadline = time::Instant::now() + wait;
+        let era = self.lock().era;
         loop {
+            if self.lock().era != era {
+                return Err(ReadError::Unavailable("restored from a copy".to_owned()));
+            }
             let appended = self.appended.notified();
             tokio::pin!(appended);
             appended.as_mut().enable();
--- a/src/fakes/mod.rs
+++ b/src/fakes/mod.rs
@@ -7,6 +7,6 @@
 mod vm_list;
 
 pub use engine::{EngineProfile, FakeEngine, WeightStore};
-pub use log::{FakeLog, LogFaults};
+pub use log::{Access, FakeLog, LogCopy, LogFaults};
 pub use service::FakeService;
 pub use vm_list::FakeVmList;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,6 +17,8 @@
 mod scripted_endpoint;
 mod second_attempts;
 mod silent_endpoints;
+mod store_access;
+mod store_copies;
 mod stream_versions;
 mod streams;
 mod streams_beside_crashes;
--- a/tests/gateway/test_gateway.rs
+++ b/tests/gateway/test_gateway.rs
@@ -26,7 +26,9 @@
 
 /// A running gateway and its store.
 pub struct TestGateway {
+    /// The log, with an access of its own for this gateway.
     pub log: FakeLog,
+    /// The operator's and the endpoints' client of the log.
     pub store: Store,
     pub client_address: SocketAddr,
     pub ready_address: SocketAddr,
@@ -101,10 +103,10 @@
     /// Starts a gateway that listens for peers on `peer` and asks those at `seeds` for their
     /// state.
     pub async fn start_with(log: FakeLog, peer: SocketAddr, seeds: Vec<IpAddr>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
         let (stop, stopped) = http::stop_channel();
-        tokio::spawn(log.clone().serve(listener, stopped));
+        let operator_address = serve_log(&log.with_own_access(), &stopped).await;
+        let log = log.with_own_access();
+        let address = serve_log(&log, &stopped).await;
         let clients = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let ready = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (client_address, ready_address) =
@@ -126,7 +128,7 @@
         };
         let listeners = Listeners { callers: clients, ready, peers, peer_address, bootstrap };
         let process = gateway::start(config, listeners);
-        let store = Store::new(address);
+        let store = Store::new(operator_address);
         Self { log, store, client_address, ready_address, peer_address, process, _stop: stop }
     }
 
@@ -249,6 +251,13 @@
     }
 }
 
+async fn serve_log(log: &FakeLog, stop: &http::Stop) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(log.clone().serve(listener, stop.clone()));
+    address
+}
+
 /// Binds the TCP and the UDP port of this number; any number that is free for both if it is 0.
 async fn bind_both(address: SocketAddr) -> (TcpListener, Socket) {
     loop {
