Fencing tokens grow after the store went back to an older copy

The same cause elsewhere: an agent derives its fencing token from the offset of its start record. After a return from an older copy a new start gets an offset that was given out before, so its orders look older than those of the start before it (rejected with 412, or two holders with one token). No caller is known to have seen it. Change: the token comes from era and offset.

--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -178,8 +178,8 @@
     }
 }
 
-/// Obtains the fencing tokens of this start. They are derived from the offset of its
-/// record in the store, which is larger than that of any earlier start.
+/// Obtains the fencing tokens of this start. They are derived from the position of its
+/// record in the store, which is later than that of any earlier start.
 async fn obtain_fencing_tokens(shared: Arc<SharedState>, store: Store) {
     let key = &shared.config.name;
     let value = format!("{{\"role\":\"engine-agent\",\"started\":{}}}", shared.started_ms);
@@ -188,7 +188,7 @@
         match store.put(STATUS, key, value.as_bytes()).await {
             Ok(position) => {
                 info!("event=fencing_token position={position}");
-                let fence = (position.offset + 1) * TOKENS_PER_START;
+                let fence = (position.sequence() + 1) * TOKENS_PER_START;
                 return shared.lock().order_scheduler.set_fence(fence);
             }
             Err(err) => {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -115,6 +115,24 @@
     pub era: StoreEra,
 }
 
+/// The offsets of an era for which [`Position::sequence`] has room.
+const OFFSETS_PER_ERA: u64 = 1 << 24;
+
+impl Position {
+    /// A number that is larger for each later record, also after the store has returned from an
+    /// older copy and given out offsets again.
+    ///
+    /// ```
+    /// use goldcrestpitch::platform::Position;
+    /// let lost = Position { offset: 9, era: 0 };
+    /// let later = Position { offset: 4, era: 1 };
+    /// assert!(lost.sequence() < later.sequence());
+    /// ```
+    pub fn sequence(self) -> u64 {
+        self.era * OFFSETS_PER_ERA + self.offset
+    }
+}
+
 impl fmt::Display for Position {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}:{}", self.era, self.offset)
--- a/tests/engine_agent.rs
+++ b/tests/engine_agent.rs
@@ -12,7 +12,7 @@
 use goldcrestpitch::{
     core::residency::{EngineOrder, Operation, OrderAnswer},
     engine_agent::{self, EngineAgent, EngineAgentConfig},
-    fakes::{FakeLog, LogFaults},
+    fakes::{FakeLog, LogCopy, LogFaults},
     gossip::{Body, ChangeKind, EngineStatus, Hello, ResidencyChange, Socket},
     http,
     platform::{CONFIGURATION, EngineClient, Store},
@@ -39,6 +39,8 @@
     load_changes: AtomicBool,
     // The engine that the last order named.
     ordered: Mutex<Option<String>>,
+    // The fencing token of the last order.
+    fence: Mutex<Option<u64>>,
 }
 
 impl FakeEngine {
@@ -63,6 +65,9 @@
         let ordered = ordered.map(|id| id.to_str().unwrap().to_owned());
         let is_other = ordered.as_ref().is_some_and(|id| id != ENGINE);
         *self.ordered.lock().unwrap() = ordered;
+        let body = http::read_body(req.into_body(), 10_000, Duration::from_secs(5)).await.unwrap();
+        let order: serde_json::Value = serde_json::from_slice(&body).unwrap();
+        *self.fence.lock().unwrap() = order["Fence"].as_u64();
         self.orders.fetch_add(1, Ordering::SeqCst);
         if is_other {
             return http::text(StatusCode::MISDIRECTED_REQUEST, "");
@@ -72,9 +77,13 @@
 }
 
 struct Fixture {
+    log: FakeLog,
+    // The log before the agent started.
+    log_copy: LogCopy,
     engine: Arc<FakeEngine>,
     gateway: Socket,
     agent: EngineAgent,
+    config: EngineAgentConfig,
     engine_address: SocketAddr,
     agent_address: SocketAddr,
     _stop: [http::StopSignal; 2],
@@ -86,7 +95,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store = listener.local_addr().unwrap();
         let (stop_log, stopped) = http::stop_channel();
-        tokio::spawn(log.serve(listener, stopped));
+        tokio::spawn(log.clone().serve(listener, stopped));
         let configuration = json!({
             "Version": 1, "Routes": [],
             "Services": [{ "Name": "llm", "MaxConns": 10, "Engine": {
@@ -96,6 +105,7 @@
         });
         let text = configuration.to_string();
         Store::new(store).put(CONFIGURATION, "config", text.as_bytes()).await.unwrap();
+        let log_copy = log.copy();
 
         let engine = Arc::new(FakeEngine::default());
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -119,8 +129,11 @@
             engine: engine_address,
             store,
         };
-        let agent = engine_agent::start(config, socket);
+        let agent = engine_agent::start(config.clone(), socket);
         Self {
+            log,
+            log_copy,
+            config,
             engine,
             gateway,
             agent,
@@ -130,6 +143,30 @@
         }
     }
 
+    /// Stops the agent and starts it again.
+    async fn restart_agent(&mut self) {
+        let socket = Socket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        self.agent_address = socket.local_address().unwrap();
+        let agent = engine_agent::start(self.config.clone(), socket);
+        std::mem::replace(&mut self.agent, agent).stop();
+    }
+
+    /// Waits for the next order and returns its fencing token.
+    async fn next_fence(&self) -> u64 {
+        let load = ResidencyChange {
+            kind: ChangeKind::Load.into(),
+            model: "m".into(),
+            adapter: String::new(),
+        };
+        *self.engine.fence.lock().unwrap() = None;
+        loop {
+            self.next_status(std::slice::from_ref(&load)).await;
+            if let Some(fence) = *self.engine.fence.lock().unwrap() {
+                return fence;
+            }
+        }
+    }
+
     fn send_hello(&self, changes: Vec<ResidencyChange>) {
         let hello = Hello {
             serving: true,
@@ -194,6 +231,20 @@
     });
 }
 
+#[test]
+fn fencing_tokens_grow_after_the_store_has_lost_the_earlier_start() {
+    run(async {
+        let mut fixture = Fixture::start().await;
+        fixture.next_fence().await;
+        fixture.restart_agent().await;
+        let before = fixture.next_fence().await;
+        fixture.log.restore(fixture.log_copy.clone());
+        fixture.restart_agent().await;
+        let after = fixture.next_fence().await;
+        assert!(before < after, "{before}, then {after}");
+    });
+}
+
 /// An order without the engine's id that arrives late is carried out by the next engine there.
 #[test]
 fn orders_name_the_engine() {
