--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -23,9 +23,8 @@
     telemetry::names,
 };
 
-/// Timeout of a long-polling read of the configuration. It also bounds how long a dead
-/// connection goes unnoticed, and is shorter than the time within which a change must
-/// be in force.
+/// How long a read of the configuration waits for a new version. A dead connection goes
+/// unnoticed for this time and that of a call; meanwhile other gateways deliver versions.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(2000);
 /// Pause between reads of registrations. They are polled: each endpoint registers again
 /// with every heartbeat, so a long-polling read would return at once.
