Client accounts: directory, decoding and headers

Cause: Part 1 of docs/design/hard-load.md: callers show a key, and the endpoint is told the account. The gateway does not use them yet.

--- a/src/core/forwarding/routes.rs
+++ b/src/core/forwarding/routes.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use crate::core::{
+    accounts::Accounts,
     hash,
     ids::{Mib, ModelName},
 };
@@ -70,9 +71,16 @@
     /// Maximum number of attempts after which the request ran or may have run; attempts
     /// that were refused or not sent do not count.
     pub max_attempts: u32,
+    /// Requests need the key of a client account, if there are accounts.
+    pub needs_key: bool,
 }
 
 impl Route {
+    /// The route with another priority, such as that of a client account.
+    pub fn with_priority(&self, priority: u8) -> Self {
+        Self { priority, ..self.clone() }
+    }
+
     /// Selects the service of a request by the hash of its id and the weights.
     pub fn service(&self, request_id: &[u8]) -> Option<&ServiceName> {
         let total: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
@@ -160,7 +168,7 @@
 ///     name: prefix.into(), host: "a.example".into(), prefix: prefix.into(),
 ///     kind: RouteKind::Idempotent, timeout: Duration::from_secs(1),
 ///     target: Duration::from_millis(200), pause_target: Duration::ZERO,
-///     patience: None, priority: 0, max_attempts: 2,
+///     patience: None, priority: 0, max_attempts: 2, needs_key: true,
 ///     services: vec![WeightedService { service: "desk".into(), weight: 1 }],
 /// };
 /// let table = RouteTable::new(7, vec![route("/a/"), route("/a/b/")], vec![], None);
@@ -174,6 +182,8 @@
     pub version: u64,
     /// Limits on callers' requests, if configured.
     pub limits: Option<RequestLimits>,
+    /// The client accounts; none if callers need no key.
+    pub accounts: Option<Arc<Accounts>>,
     by_host: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, Arc<Service>>,
 }
@@ -200,7 +210,12 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
-        Self { version, limits, by_host, services }
+        Self { version, limits, accounts: None, by_host, services }
+    }
+
+    /// Sets the client accounts; none if callers need no key.
+    pub fn with_accounts(self, accounts: Option<Accounts>) -> Self {
+        Self { accounts: accounts.map(Arc::new), ..self }
     }
 
     /// Finds the route of the host with the longest prefix of the path.
--- a/src/core/ids.rs
+++ b/src/core/ids.rs
@@ -8,6 +8,8 @@
 pub type EndpointId = Arc<str>;
 /// Name of a tenant: a caller's organisation.
 pub type TenantName = Arc<str>;
+/// Name of a client account in the operator's configuration.
+pub type AccountName = Arc<str>;
 /// Name of a service class, which has its own latency targets.
 pub type ClassName = Arc<str>;
 /// Id of an entry: a process that accepts callers' requests.
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -79,11 +79,13 @@
     KeyReused = 1010, 422, NotRun, "The idempotency key was used before with another body.";
     UnknownPath = 1011, 404, NotRun, "The path or method is not served.";
     BadKey = 1012, 400, NotRun, "The `idempotency-key` header is empty, longer than 200 bytes or not visible ASCII.";
+    UnknownApiKey = 1013, 401, NotRun, "The request has no key, or one that belongs to no client account.";
     RateLimited = 2001, 429, NotRun, "The tenant has exceeded its rate limit `tenant.rate_per_s`.";
     ConcurrencyLimited = 2002, 429, NotRun, "The tenant already has `tenant.concurrency` requests in progress at this entry.";
     QueueFull = 2003, 503, NotRun, "The endpoint's queue is full.";
     DeadlineTooShort = 2004, 503, NotRun, "The request could not start before its deadline.";
     Quarantined = 2005, 422, NotRun, "The request is quarantined because endpoints crashed while they ran it.";
+    QuotaExceeded = 2006, 429, NotRun, "The client account has used its quota.";
     NoEndpoint = 3001, 503, NotRun, "No endpoint for the target answered or admitted the request.";
     Draining = 3002, 503, NotRun, "The process is shutting down gracefully.";
     NotResident = 3003, 503, NotRun, "The model is not loaded on the endpoint, and it does not fit or was not loaded in time.";
@@ -93,6 +95,7 @@
     Fenced = 3007, 503, NotRun, "The attempt was fenced before it started.";
     VersionGone = 3008, 503, NotRun, "No endpoint of the software version that began the stream accepts requests.";
     VersionUnknown = 3009, 503, NotRun, "It is not known which software version began the stream, so it cannot go on.";
+    KeysOutdated = 3010, 503, NotRun, "The store was not read for longer than `accounts.revoke_ms`, and `accounts.fail_closed` is set.";
     EndpointFailed = 4001, 502, Unknown, "The endpoint failed while the request ran.";
     DeadlineExceeded = 4002, 504, Unknown, "The deadline passed while the request ran.";
     OutcomeUnknown = 4003, 409, Unknown, "An earlier request with this key may have run; it is not run again.";
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -9,7 +9,10 @@
         DEFAULT_PAUSE_TARGET, EngineSpec, ModelSpec, RequestLimits, Route, RouteKind, RouteTable,
         Service, WeightedService,
     },
-    platform::DecodeError,
+    platform::{
+        DecodeError,
+        accounts::{AccountWire, accounts},
+    },
 };
 
 /// Key of the configuration in the topic of the operator's records.
@@ -48,6 +51,9 @@
     services: Vec<ServiceWire>,
     #[serde(default)]
     limits: Option<LimitsWire>,
+    // The client accounts.
+    #[serde(default)]
+    tenants: Option<Vec<AccountWire>>,
 }
 
 #[derive(Deserialize)]
@@ -72,6 +78,8 @@
     // Longest pause between events for which a stream is on time.
     #[serde(default)]
     gap_aim_ms: Option<f64>,
+    #[serde(default)]
+    no_auth: bool,
 }
 
 fn default_max_attempts() -> u32 {
@@ -169,6 +177,7 @@
             priority: wire.priority,
             services,
             max_attempts: wire.max_attempts.max(1),
+            needs_key: !wire.no_auth,
         })
     }
 }
@@ -239,5 +248,7 @@
     let wire: ConfigWire = serde_json::from_slice(text)?;
     let routes = wire.routes.into_iter().map(Route::try_from).collect::<Result<Vec<_>, _>>()?;
     let services = wire.services.into_iter().map(Service::from).collect();
-    Ok(RouteTable::new(wire.version, routes, services, wire.limits.map(RequestLimits::from)))
+    let limits = wire.limits.map(RequestLimits::from);
+    let accounts = wire.tenants.map(accounts).transpose()?;
+    Ok(RouteTable::new(wire.version, routes, services, limits).with_accounts(accounts))
 }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,6 +3,8 @@
 //! The platform's names and formats on the wire are decoded only here, into the types of
 //! this crate. This module makes no decisions.
 
+mod account_headers;
+mod accounts;
 mod configuration;
 mod engine;
 mod headers;
@@ -10,6 +12,7 @@
 mod registration;
 mod store;
 
+pub use account_headers::{api_key, remove_account_headers, set_account};
 pub use configuration::{CONFIG_KEY, decode_configuration};
 pub use engine::{EngineClient, engine_start};
 pub use headers::{
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -24,6 +24,11 @@
 pub const RESUMPTIONS: &str = "goldcrestpitch_resumptions_total";
 /// Refused requests, by result code.
 pub const REFUSALS: &str = "goldcrestpitch_refusals_total";
+/// Requests refused for their client account, by cause and account; at most 32 accounts have a
+/// label of their own.
+pub const ACCOUNT_REFUSALS: &str = "goldcrestpitch_account_refusals_total";
+/// Time since the client accounts were last read from the store, in seconds.
+pub const ACCOUNTS_AGE: &str = "goldcrestpitch_accounts_age_seconds";
 /// Retries (attempts after the first), by reason; in a gateway, by whether the retry budget
 /// allowed them.
 pub const RETRIES: &str = "goldcrestpitch_retries_total";
--- a/tests/dispatch_cost.rs
+++ b/tests/dispatch_cost.rs
@@ -74,6 +74,7 @@
         priority: 1,
         services: vec![WeightedService { service: "llm".into(), weight: 1 }],
         max_attempts: 2,
+        needs_key: true,
     }
 }
 
--- a/tests/endpoint_rests/fleet.rs
+++ b/tests/endpoint_rests/fleet.rs
@@ -90,6 +90,7 @@
         priority: 1,
         services: vec![WeightedService { service: "desk".into(), weight: 1 }],
         max_attempts: 2,
+        needs_key: true,
     }
 }
 
--- a/tests/forwarding.rs
+++ b/tests/forwarding.rs
@@ -32,6 +32,7 @@
         priority,
         services: vec![WeightedService { service: "llm".into(), weight: 1 }],
         max_attempts: 2,
+        needs_key: true,
     }
 }
 
