Client accounts in the gateway: keys, headers, priority, fail_closed, hook for quotas

Change: requests are authenticated after their route was found and again after their body was read; the endpoint gets the account instead of the key; the account's priority replaces the route's; section [accounts] of the settings. ProxiedRequest::admit charges a stub that admits everything.

--- a/src/cli/platform.rs
+++ b/src/cli/platform.rs
@@ -73,6 +73,7 @@
         seeds: settings.seeds.iter().map(|s| s.ip()).collect(),
         first_start: settings.first_start,
         bounds: settings.bounds,
+        accounts: settings.accounts,
     };
     let gateway = gateway::start(config, listeners);
     let shared = gateway.shared().clone();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -85,6 +85,7 @@
     }
 
     fn store_answered(&mut self) {
+        self.shared.record_configuration_read(Instant::now());
         record_answer(&self.shared, Self::TOPIC);
     }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -15,7 +15,7 @@
 use crate::{
     core::forwarding::{Route, RouteTable, TimeLimit},
     errors::{Code, Refusal},
-    gateway::{refusals, request::ProxiedRequest, shared::SharedState},
+    gateway::{accounts, refusals, request::ProxiedRequest, shared::SharedState},
     http::{self, Reply, ReplyAborted},
     platform,
 };
@@ -43,7 +43,7 @@
 
 async fn forward(shared: Arc<SharedState>, req: Request<http::RequestBody>) -> Reply {
     let received_at = Instant::now();
-    let (head, body) = req.into_parts();
+    let (mut head, body) = req.into_parts();
     let Some(table) = shared.table() else {
         let refusal = Refusal::new(Code::NotReady, "the routes are not known yet");
         return refusals::response(&refusal.retry_after(Duration::from_secs(1)));
@@ -55,6 +55,9 @@
         return refusals::response(&refusal);
     };
     let caller = platform::parse_request_head(&head.headers);
+    if let Err(denial) = shared.authenticate(&table, &route, &head.headers) {
+        return accounts::refuse(&shared, denial, &caller.id, &route);
+    }
     // What a late loop reads has waited for it.
     let received_at = received_at.checked_sub(shared.loop_lag(received_at)).unwrap_or(received_at);
     let limit = TimeLimit::new(received_at, caller.deadline, route.timeout);
@@ -66,7 +69,16 @@
         Ok(body) => body,
         Err(refusal) => return refusals::response(&refusal),
     };
-    let request = match ProxiedRequest::new(shared, route, head, caller, body, limit) {
+    // A key may have been revoked while the body arrived.
+    let latest = shared.table().unwrap_or(table);
+    let access = match shared.authenticate(&latest, &route, &head.headers) {
+        Ok(access) => access,
+        Err(denial) => return accounts::refuse(&shared, denial, &caller.id, &route),
+    };
+    accounts::replace_headers(&access, &mut head.headers);
+    let route = accounts::route_for(&access, route);
+    let account = access.account().cloned();
+    let request = match ProxiedRequest::new(shared, route, head, caller, body, limit, account) {
         Ok(request) => request,
         Err(refusal) => return refusals::response(&refusal),
     };
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway process: accepts callers' requests and forwards them to endpoints
 //! according to the operator's routes.
 
+mod accounts;
 mod attempt;
 mod bootstrap;
 mod crash_check;
@@ -27,5 +28,6 @@
 mod suspects;
 mod upstream;
 
+pub use accounts::AccountSettings;
 pub use process::{Gateway, GatewayConfig, Listeners, start};
 pub use shared::{Bounds, SharedState, ShutdownPlan};
--- a/src/gateway/outbound.rs
+++ b/src/gateway/outbound.rs
@@ -12,7 +12,11 @@
 use tokio::time;
 
 use crate::{
-    core::{forwarding::TimeLimit, ids::EndpointId, limits::NamedLimit},
+    core::{
+        forwarding::TimeLimit,
+        ids::{AccountName, EndpointId},
+        limits::NamedLimit,
+    },
     gateway::{
         limits, rests,
         shared::SharedState,
@@ -36,6 +40,7 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     pub(super) priority: u8,
+    pub(super) account: Option<AccountName>,
     pub(super) limit: TimeLimit,
 }
 
@@ -128,7 +133,12 @@
         let mut req = Request::new(Full::new(self.body.clone()));
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
-        *req.headers_mut() = platform::forwarded_headers(&self.headers, params);
+        let mut headers = platform::forwarded_headers(&self.headers, params);
+        // The caller's `connection` header may have named it.
+        if let Some(name) = &self.account {
+            platform::set_account(&mut headers, name);
+        }
+        *req.headers_mut() = headers;
         let reused = connection.was_used();
         match time::timeout(self.limit.until_answer(now), connection.send(req)).await {
             Err(_) => Err(AttemptError::TimedOut),
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -14,6 +14,7 @@
     core::forwarding::RetryShare,
     fleet::follow_topic,
     gateway::{
+        accounts::AccountSettings,
         bootstrap,
         follow::{EndpointUpdater, RouteUpdater},
         forward,
@@ -62,6 +63,8 @@
     pub first_start: bool,
     /// Limits that the platform sets.
     pub bounds: Bounds,
+    /// Settings of the client accounts.
+    pub accounts: AccountSettings,
 }
 
 /// The listening sockets of a gateway.
@@ -96,7 +99,8 @@
     let ids = others.iter().map(|address| process_id(*address));
     let (window, first_start) = (config.bounds.retry_window, config.first_start);
     let share = RetryShare::new(Instant::now(), window, ids, first_start);
-    let shared = SharedState::new(locality, config.bounds, share, fastrand::u64(..));
+    let shared =
+        SharedState::new(locality, config.bounds, config.accounts, share, fastrand::u64(..));
     let store = Store::new(config.store);
     tokio::spawn(follow_topic(store.clone(), RouteUpdater { shared: shared.clone() }));
     tokio::spawn(follow_topic(store.clone(), EndpointUpdater::new(shared.clone())));
@@ -155,6 +159,7 @@
     loop {
         time::sleep(EXPIRE_INTERVAL).await;
         shared.pool.close_expired();
+        shared.record_accounts_age(Instant::now());
     }
 }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     core::{
+        accounts::Account,
         forwarding::{Requirements, Route, RouteKind, ServiceName, TimeLimit},
         hash,
         ids::{EndpointId, Fingerprint, StreamId},
@@ -22,6 +23,7 @@
     },
     errors::{Code, Refusal},
     gateway::{
+        accounts::QuotaCharge,
         attempt::EndpointResponse,
         limits::RateLabel,
         outbound::{MAX_RESPONSE_BYTES, OutboundRequest},
@@ -54,6 +56,8 @@
     pub(super) route: Arc<Route>,
     pub(super) service: ServiceName,
     pub(super) requirements: Requirements,
+    pub(super) account: Option<Arc<Account>>,
+    pub(super) charge: Option<QuotaCharge>,
     pub(super) outbound: Arc<OutboundRequest>,
     pub(super) limit: TimeLimit,
     pub(super) key: RequestKey,
@@ -89,6 +93,7 @@
         caller: RequestHead,
         body: Bytes,
         limit: TimeLimit,
+        account: Option<Arc<Account>>,
     ) -> Result<Self, Refusal> {
         let Some(service) = route.service(&caller.id).cloned() else {
             return Err(Refusal::new(Code::NoEndpoint, "the route has no service"));
@@ -97,7 +102,6 @@
         let fingerprint = fingerprint(&head, &service, &caller.requirements, path, &body);
         let key = RequestKey { fingerprint, headers: platform::header_hash(&head.headers) };
         let uri = path.parse().map_err(|_| Refusal::new(Code::UnknownPath, "unusable path"))?;
-        shared.record_request(&service, &caller.requirements);
         let resumed = platform::resumed_attempt(&head.headers);
         let stream = stream_id(resumed.as_deref().unwrap_or(&caller.id));
         let outbound = OutboundRequest {
@@ -108,12 +112,15 @@
             headers: head.headers,
             body,
             priority: route.priority,
+            account: account.as_ref().map(|a| a.name.clone()),
             limit,
         };
         Ok(Self {
             shared,
             service,
             requirements: caller.requirements,
+            account,
+            charge: None,
             outbound: Arc::new(outbound),
             limit,
             key,
@@ -134,6 +141,10 @@
     /// Makes attempts until there is a response or a refusal for the caller, or its time or the
     /// grace period of a shutdown is over.
     pub(super) async fn run(mut self) -> Reply {
+        if let Err(refusal) = self.admit() {
+            return self.refuse(&refusal);
+        }
+        self.shared.record_request(&self.service, &self.requirements);
         // Other requests get an error response at the end of the grace period.
         let is_stream = matches!(self.route.kind, RouteKind::Streaming { .. });
         if is_stream && self.shared.may_cut_off(Instant::now(), &self.limit) {
@@ -371,11 +382,12 @@
     pub(super) fn log_end(&self, status: StatusCode, how: &str, endpoint: Option<&EndpointId>) {
         let elapsed = self.limit.received_at().elapsed();
         info!(
-            "event=request_end id={} fingerprint={:016x} route={} model={} status={} how={how} sends={} \
+            "event=request_end id={} fingerprint={:016x} route={} account={} model={} status={} how={how} sends={} \
              tried={} endpoint={} first_ms={} gap_ms={} ms={}",
             self.id(),
             self.key.fingerprint,
             self.route.name,
+            self.account.as_ref().map_or("-", |a| &a.name),
             self.requirements.model.as_deref().unwrap_or("-"),
             status.as_u16(),
             self.sends,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -24,6 +24,7 @@
         resumption::{Lookups, ServiceVersions, StreamOrigins},
     },
     gateway::{
+        accounts::{AccountSettings, AccountState},
         bootstrap::StoreCache,
         run::{RunTarget, crash_id},
         upstream::ConnectionPool,
@@ -75,6 +76,7 @@
     pub(super) origins: StreamOrigins,
     pub(super) lookups: Lookups,
     pub(super) versions: ServiceVersions,
+    pub(super) accounts: AccountState,
     // Served to gateways that start while the store is unavailable.
     pub(super) cache: StoreCache,
     // Each service has its own retry budget.
@@ -118,6 +120,7 @@
 #[derive(Debug)]
 pub struct SharedState {
     bounds: Bounds,
+    account_settings: AccountSettings,
     state: Mutex<State>,
     pub(super) pool: ConnectionPool,
     // Wakes the dispatch loop when a request starts to wait.
@@ -145,6 +148,7 @@
     pub fn new(
         locality: Locality,
         bounds: Bounds,
+        account_settings: AccountSettings,
         retry_share: RetryShare,
         seed: u64,
     ) -> Arc<Self> {
@@ -158,6 +162,7 @@
             origins: StreamOrigins::default(),
             lookups: Lookups::default(),
             versions: ServiceVersions::default(),
+            accounts: AccountState::default(),
             cache: StoreCache::default(),
             retry_budgets: HashMap::new(),
             retry_share,
@@ -174,6 +179,7 @@
         };
         Arc::new(Self {
             bounds,
+            account_settings,
             state: Mutex::new(state),
             pool: ConnectionPool::default(),
             request_queued: Notify::new(),
@@ -194,6 +200,11 @@
         &self.bounds
     }
 
+    /// Settings of the client accounts.
+    pub fn account_settings(&self) -> &AccountSettings {
+        &self.account_settings
+    }
+
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/platform/account_headers.rs
+++ b/src/platform/account_headers.rs
@@ -54,7 +54,7 @@
 /// ```
 pub fn set_account(headers: &mut HeaderMap, name: &str) {
     // Names that no header can carry are rejected with their configuration.
-    if let Ok(value) = HeaderValue::from_str(name) {
+    if let Ok(value) = HeaderValue::from_bytes(name.as_bytes()) {
         headers.insert(ACCOUNT, value);
     }
 }
--- a/src/platform/accounts.rs
+++ b/src/platform/accounts.rs
@@ -50,7 +50,8 @@
 /// # Errors
 /// [`DecodeError`] for a name that no header can carry. Keys never appear in it.
 pub(super) fn accounts(wire: Vec<AccountWire>) -> Result<Accounts, DecodeError> {
-    let unusable = |a: &&AccountWire| a.name.is_empty() || HeaderValue::from_str(&a.name).is_err();
+    let unusable =
+        |a: &&AccountWire| a.name.is_empty() || HeaderValue::from_bytes(a.name.as_bytes()).is_err();
     if let Some(account) = wire.iter().find(unusable) {
         return Err(DecodeError(format!("the account name {:?} is unusable", account.name)));
     }
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
-    gateway::Bounds,
+    gateway::{AccountSettings, Bounds},
     settings::{SettingsError, SettingsReader},
     telemetry::LogLevels,
 };
@@ -15,6 +15,10 @@
 const DEFAULT_RETRY_RATIO: f64 = 0.2;
 const MAX_RETRY_RATIO: f64 = 10.0;
 const MAX_RETRY_SLACK: f64 = 1e6;
+const MAX_REVOKE_MS: f64 = 600_000.0;
+const MAX_QUOTA_WINDOW: Duration = Duration::from_secs(3600);
+const MAX_QUOTA_OVERAGE: f64 = 10.0;
+const MAX_QUOTA_SLACK: f64 = 1e9;
 
 /// Settings of a gateway; `settings/gateway.ini` documents each key.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,6 +45,8 @@
     pub store: SocketAddr,
     /// Retry and shutdown limits that apply to all gateways together.
     pub bounds: Bounds,
+    /// Client accounts.
+    pub accounts: AccountSettings,
     /// Log levels, global and per module.
     pub levels: LogLevels,
 }
@@ -73,6 +79,7 @@
             retry_slack: r.number("bounds", "retry_slack", 0.0, MAX_RETRY_SLACK),
             grace: r.seconds("bounds", "grace_s", DEFAULT_GRACE, MAX_GRACE),
         };
+        let accounts = read_accounts(r);
         let levels = r.parsed("logs", "levels");
         let listeners = [
             ("listen", listen),
@@ -105,9 +112,34 @@
                 first_start,
                 store: store?,
                 bounds,
+                accounts,
                 levels,
             })
         };
         if errors.is_empty() { settings().ok_or_else(Vec::new) } else { Err(errors) }
     }
 }
+
+fn read_accounts(r: &mut SettingsReader) -> AccountSettings {
+    const SECTION: &str = "accounts";
+    let defaults = AccountSettings::default();
+    let revoke_ms = defaults.revoke.as_secs_f64() * 1e3;
+    let revoke_ms = r.number(SECTION, "revoke_ms", revoke_ms, MAX_REVOKE_MS);
+    let settings = AccountSettings {
+        fail_closed: r.flag(SECTION, "fail_closed"),
+        revoke: Duration::from_secs_f64(revoke_ms / 1e3),
+        quota_window: r.seconds(SECTION, "quota_window_s", defaults.quota_window, MAX_QUOTA_WINDOW),
+        quota_overage: r.number(
+            SECTION,
+            "quota_overage",
+            defaults.quota_overage,
+            MAX_QUOTA_OVERAGE,
+        ),
+        quota_slack: r.number(SECTION, "quota_slack", defaults.quota_slack, MAX_QUOTA_SLACK),
+    };
+    if settings.quota_window.is_zero() {
+        let text = "a window of 0 s holds no requests".to_owned();
+        r.report_contradiction(SECTION, "quota_window_s", text);
+    }
+    settings
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Runs the gateway with scripted endpoints on loopback: one module for each group of the
 //! platform's rules. No assertion depends on timing.
 
+mod accounts;
 mod bootstrap;
 mod config;
 mod crashing_callers;
--- a/tests/gateway/test_gateway.rs
+++ b/tests/gateway/test_gateway.rs
@@ -8,7 +8,7 @@
 
 use goldcrestpitch::{
     fakes::{FakeLog, LogFaults},
-    gateway::{self, Bounds, Gateway, GatewayConfig, Listeners},
+    gateway::{self, AccountSettings, Bounds, Gateway, GatewayConfig, Listeners},
     gossip::Socket,
     http,
     platform::{CONFIGURATION, REGISTRATIONS, Store},
@@ -103,6 +103,16 @@
     /// Starts a gateway that listens for peers on `peer` and asks those at `seeds` for their
     /// state.
     pub async fn start_with(log: FakeLog, peer: SocketAddr, seeds: Vec<IpAddr>) -> Self {
+        Self::start_with_accounts(log, peer, seeds, AccountSettings::default()).await
+    }
+
+    /// Like [`Self::start_with`], with settings of the client accounts.
+    pub async fn start_with_accounts(
+        log: FakeLog,
+        peer: SocketAddr,
+        seeds: Vec<IpAddr>,
+        accounts: AccountSettings,
+    ) -> Self {
         let (stop, stopped) = http::stop_channel();
         let operator_address = serve_log(&log.with_own_access(), &stopped).await;
         let log = log.with_own_access();
@@ -125,6 +135,7 @@
                 retry_slack: 4.0,
                 grace: Duration::from_secs(4),
             },
+            accounts,
         };
         let listeners = Listeners { callers: clients, ready, peers, peer_address, bootstrap };
         let process = gateway::start(config, listeners);
