--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -1,11 +1,12 @@
 //! Checks that documentation, settings files and help texts match the code.
 
-use std::{env, fs, path::Path};
+use std::{env, fs, path::Path, time::Duration};
 
 use goldcrestpitch::{
     cli::Goldcrestpitch,
     core::config::Key,
     errors::Code,
+    gateway::AccountSettings,
     settings::{
         AgentSettings, EngineAgentSettings, EntrySettings, GatewaySettings, SettingsError,
         SettingsReader,
@@ -95,11 +96,34 @@
 /// Fills in the placeholders of a settings template as the platform does. Supports only the
 /// placeholders that our templates use.
 fn fill_template(file: &str, values: &[(&str, &str)]) -> String {
+    fill_template_with_sections(file, values, &[])
+}
+
+/// Like [`fill_template`]. The values of `sections` are present; other conditional sections, from
+/// `{{#NAME}}` to `{{/NAME}}`, are left out with their content.
+fn fill_template_with_sections(
+    file: &str,
+    values: &[(&str, &str)],
+    sections: &[(&str, &str)],
+) -> String {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(file);
     let mut text = fs::read_to_string(path).unwrap();
     for (placeholder, value) in values {
         text = text.replace(placeholder, value);
     }
+    for (name, value) in sections {
+        for tag in [format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}")] {
+            assert_eq!(text.matches(&tag).count(), 1, "{file}: {tag}");
+            text = text.replace(&tag, "");
+        }
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    while let Some(begin) = text.find("{{#") {
+        let name = text[begin + 3..].split("}}").next().unwrap().to_owned();
+        let end_tag = format!("{{{{/{name}}}}}");
+        let end = begin + text[begin..].find(&end_tag).expect(&name) + end_tag.len();
+        text.replace_range(begin..end, "");
+    }
     assert!(!text.contains("{{"), "{file} has an unknown placeholder:\n{text}");
     text
 }
@@ -134,6 +158,25 @@
     assert_eq!((settings.seeds.len(), settings.zones.len()), (2, 2));
     assert_eq!(settings.bounds.retry_slack, 58.0);
     assert!(settings.first_start);
+    assert_eq!(settings.accounts, AccountSettings::default());
+    // Deployments with client accounts have these values in addition.
+    let sections = [
+        ("TimingBounds.FailClosed", "true"),
+        ("TimingBounds.RevokeMs", "4000"),
+        ("TimingBounds.QuotaWindowS", "6"),
+        ("TimingBounds.QuotaOverage", "0.2"),
+        ("TimingBounds.QuotaSlack", "900"),
+    ];
+    let with_accounts = fill_template_with_sections("deploy/gateway.ini", &values, &sections);
+    let settings = GatewaySettings::read(SettingsReader::from_text("g", &with_accounts)).unwrap();
+    let expected = AccountSettings {
+        fail_closed: true,
+        revoke: Duration::from_secs(4),
+        quota_window: Duration::from_secs(6),
+        quota_overage: 0.2,
+        quota_slack: 900.0,
+    };
+    assert_eq!(settings.accounts, expected);
     let agent = fill_template("deploy/engine-agent.ini", &values);
     assert!(EngineAgentSettings::read(SettingsReader::from_text("a", &agent)).is_ok());
     // The list of seeds is empty on the first VM of a system.
--- a/tests/gateway/explained.rs
+++ b/tests/gateway/explained.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use goldcrestpitch::platform::CONFIGURATION;
 use tokio::time;
 
 use crate::{
@@ -15,7 +16,7 @@
         ReceivedRequest, ScriptedEndpoint, Step, chunk, events, http_response, last_chunk,
         response_head, stream_head,
     },
-    test_gateway::TestGateway,
+    test_gateway::{TestGateway, configuration},
 };
 
 static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
@@ -76,6 +77,23 @@
     assert_eq!(gateway.send("GET", "/read/1", "x-request-id: refused-1\r\n", "").await.status, 503);
 }
 
+/// A caller shows a key that no client account has.
+async fn refuse_an_unknown_key() {
+    let endpoint = ScriptedEndpoint::start(|r| http_response("200 OK", r.id(), "fine")).await;
+    let gateway = TestGateway::start(&[&endpoint]).await;
+    let mut text = configuration(2, &crate::test_gateway::routes(), &["desk"]);
+    text["Tenants"] = serde_json::json!([{ "Name": "hule930", "ApiKeys": ["secret-known"] }]);
+    let text = text.to_string();
+    gateway.store.put(CONFIGURATION, "config", text.as_bytes()).await.unwrap();
+    gateway.wait_for_version(2).await;
+    for (id, key, status) in
+        [("account-1", "secret-other", 401), ("account-2", "secret-known", 200)]
+    {
+        let headers = format!("x-request-id: {id}\r\nauthorization: Bearer {key}\r\n");
+        assert_eq!(gateway.send("GET", "/read/1", &headers, "").await.status, status);
+    }
+}
+
 async fn fail_non_idempotent_request() {
     let endpoint = ScriptedEndpoint::start(|_| vec![Step::Reset]).await;
     let gateway = TestGateway::start(&[&endpoint]).await;
@@ -192,6 +210,7 @@
     install_capture_logger();
     run(async {
         refuse_without_endpoint().await;
+        refuse_an_unknown_key().await;
         fail_non_idempotent_request().await;
         truncate_stream().await;
         crash_endpoints().await;
@@ -202,6 +221,11 @@
         rest_and_leave().await;
     });
     assert_eq!(events_for_request("refused-1"), ["refused", "request_end"]);
+    assert_eq!(events_for_request("account-1"), ["account_refused"]);
+    assert_eq!(events_for_request("account-2"), ["sent", "request_end"]);
+    assert!(lines_for_request("account-2")[1].contains(" account=hule930 "));
+    let with_key = LINES.lock().unwrap().iter().find(|l| l.contains("secret-")).cloned();
+    assert_eq!(with_key, None, "keys must not be logged");
     assert_eq!(events_for_request("failed-1"), ["sent", "broken", "refused", "request_end"]);
     assert_eq!(events_for_request("crashing-9"), ["refused", "request_end"]);
     assert_eq!(events_for_request("shared-9"), ["refused", "request_end"]);
@@ -228,6 +252,8 @@
     assert!(12 <= documented, "the page must show the log lines of four failures");
     for name in [
         goldcrestpitch::telemetry::names::REFUSALS,
+        goldcrestpitch::telemetry::names::ACCOUNT_REFUSALS,
+        goldcrestpitch::telemetry::names::ACCOUNTS_AGE,
         goldcrestpitch::telemetry::names::RETRIES,
         goldcrestpitch::telemetry::names::SUSPECTED_CRASHES,
         goldcrestpitch::telemetry::names::WAITING,
