Shared quotas of client accounts: pure code, first form

The quotas of client accounts apply to all gateways together. Each gateway keeps one bucket for the fleet per account; the part of a gateway accrues only as far as that gateway was heard from. Built; no test was run yet.

--- a/src/core/limits/mod.rs
+++ b/src/core/limits/mod.rs
@@ -4,6 +4,7 @@
 mod fair_queue;
 mod limited_endpoint;
 mod loop_lag;
+mod shared_quota;
 mod tenant_limits;
 mod token_bucket;
 
@@ -11,5 +12,9 @@
 pub use fair_queue::{FairQueue, Flow, Popped};
 pub use limited_endpoint::ProcessLoad;
 pub use loop_lag::LoopLag;
+pub use shared_quota::{
+    AccountName, AccountReport, DEFAULT_BURST_S, QuotaLevel, QuotaLimit, QuotaReport, QuotaWindow,
+    SharedQuotas, StartId,
+};
 pub use tenant_limits::{Limits, TenantLimits};
 pub use token_bucket::TokenBucket;
