--- a/src/core/limits/shared_quota/fleet.rs
+++ b/src/core/limits/shared_quota/fleet.rs
@@ -50,6 +50,9 @@
 pub(super) struct Fleet {
     pub(super) peers: HashMap<ProcessId, Peer>,
     known: usize,
+    // Gateways of which this one or a reachable one knows, and the other reachable ones.
+    size: usize,
+    reachable: usize,
     accrued_to: Option<Instant>,
     credit: f64,
 }
@@ -57,13 +60,12 @@
 impl Fleet {
     /// Gateways among which the rates are divided, this one included.
     pub(super) fn size(&self) -> usize {
-        let told = self.peers.values().filter(|p| p.is_reachable).map(|p| p.told_gateways);
-        self.known.max(self.peers.len() + 1).max(told.max().unwrap_or(1))
+        self.size.max(self.known).max(1)
     }
 
     /// Gateways that hear each other, this one included.
     pub(super) fn reachable(&self) -> usize {
-        1 + self.peers.values().filter(|p| p.is_reachable).count()
+        1 + self.reachable
     }
 
     /// The part of each burst that these gateways may use.
@@ -75,9 +77,21 @@
         self.known = known;
     }
 
+    /// Counts the gateways after a change.
+    fn recount(&mut self) {
+        let reachable = self.peers.values().filter(|p| p.is_reachable);
+        let told = reachable.clone().map(|p| p.told_gateways).max().unwrap_or(1);
+        self.reachable = reachable.count();
+        self.size = told.max(self.peers.len() + 1);
+    }
+
     /// Accrual time of the whole fleet, in seconds, as far as gateways were heard from.
     pub(super) fn accrue(&mut self, now: Instant) -> f64 {
+        let count = self.peers.len();
         self.peers.retain(|_, p| now < p.last_heard + FORGET_AFTER);
+        if self.peers.len() < count {
+            self.recount();
+        }
         let size = self.size() as f64;
         let own = self.accrued_to.unwrap_or(now);
         let mut seconds = now.saturating_duration_since(own).as_secs_f64();
@@ -103,6 +117,7 @@
             peer.is_reachable = false;
             peer.charged = HashMap::new();
         }
+        self.recount();
     }
 
     /// Notes a report of a gateway.
@@ -122,13 +137,18 @@
                 return Heard::Old;
             }
             let again = peer.start == start && peer.is_reachable;
+            let is_same = again && peer.told_gateways == gateways;
             (peer.start, peer.sequence, peer.told_gateways) = (start, sequence, gateways);
             peer.last_heard = now;
             if again {
+                if !is_same {
+                    self.recount();
+                }
                 return Heard::Again;
             }
             (peer.since, peer.accrued_to, peer.is_reachable) = (now, now, true);
             peer.charged = HashMap::new();
+            self.recount();
             return Heard::New;
         }
         let peer = Peer {
@@ -142,6 +162,7 @@
             accrued_to: now,
         };
         self.peers.insert(process, peer);
+        self.recount();
         Heard::New
     }
 }
--- a/src/core/limits/shared_quota/mod.rs
+++ b/src/core/limits/shared_quota/mod.rs
@@ -39,9 +39,12 @@
 const ADOPT_FOR: Duration = Duration::from_millis(500);
 /// Longest time that a caller is told to wait.
 const MAX_WAIT_S: f64 = 60.0;
+/// Part of the margin that may be owed when a request is admitted. The level lags behind that of a
+/// bucket in one place by up to 0.15 s of the rate, which must not cost requests within the quota.
+const OVERDRAFT: f64 = 0.1;
 /// Part of the slack that a gateway may charge to an account before it reports at once. The
 /// charges of 30 gateways at ordinary use are reported together then.
-const UNREPORTED_SLACK: f64 = 0.125;
+const UNREPORTED_SLACK: f64 = 0.2;
 
 /// The level of one account, for metrics.
 #[derive(Clone, Debug, PartialEq)]
@@ -69,6 +72,7 @@
 /// quotas.configure(now, [(account.clone(), limit)]);
 /// // A request may cost more than what is left; the rest is paid by later accrual.
 /// assert_eq!(quotas.charge(now, &account, 15.0), Ok(()));
+/// assert_eq!(quotas.charge(now, &account, 10.0), Ok(()));
 /// let wait = quotas.charge(now, &account, 1.0).unwrap_err();
 /// assert!(Duration::from_millis(500) <= wait);
 /// assert_eq!(quotas.charge(now + wait, &account, 1.0), Ok(()));
@@ -176,12 +180,13 @@
         self.advance(now);
         let part = self.fleet.part();
         let Some(state) = self.accounts.get_mut(account) else { return Ok(()) };
-        if 0.0 < state.level {
+        let level = state.level + OVERDRAFT * self.config.margin(&state.limit) * part;
+        if 0.0 < level {
             self.record(account, cost);
             return Ok(());
         }
-        // A nanosecond more, since the level has to be positive.
-        let wait = -state.level / (state.limit.rate_per_s * part) + 0.001;
+        // A millisecond more, since the level has to be positive.
+        let wait = -level / (state.limit.rate_per_s * part) + 0.001;
         Err(Duration::from_secs_f64(wait.min(MAX_WAIT_S)))
     }
 
@@ -204,6 +209,9 @@
     /// Accrues, and notes which gateways have become silent.
     fn advance(&mut self, now: Instant) {
         let last = self.last_call.replace(now);
+        if last == Some(now) {
+            return;
+        }
         if last.is_some_and(|last| last + FROZEN_AFTER <= now) && !self.fleet.peers.is_empty() {
             self.resumed(now);
         }
@@ -269,7 +277,7 @@
     /// slack within the time between two regular reports.
     fn is_short(&self, account: &Account, part: f64) -> bool {
         let limit = account.limit;
-        self.config.slack < 2.0 * limit.rate_per_s && account.level < part * limit.burst
+        self.config.slack < limit.rate_per_s && account.level < part * limit.burst
     }
 
     fn is_urgent(&self, account: &Account) -> bool {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod planner;
 mod process;
 mod quarantine_store;
+mod quotas;
 mod refusals;
 mod relay;
 mod request;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -29,6 +29,7 @@
         crash_reports::{self, CrashReporter},
         limits,
         planner::{self, AgentInfo, Planner},
+        quotas,
         shared::{self, SharedState},
         streams,
     },
@@ -113,6 +114,8 @@
             () = shared.peer_update_due.notified() =>
                 peers.send_to_gateways(&shared, &socket, true),
             () = shared.limits_changed.notified() => peers.send_limits(&shared, &socket),
+            () = shared.quota_report_due.notified() =>
+                quotas::send(&shared, &socket, peers.gateways.keys().copied()),
             () = shared.streams_changed.notified() => peers.send_streams(&shared, &socket),
             () = shared.adapter_wanted.notified() => send_adapter_requests(&shared, &socket, own),
             received = socket.receive() => {
@@ -194,6 +197,7 @@
             Body::EngineLoad(load) => self.receive_engine_load(shared, now, &load),
             Body::CrashReports(reports) => crash_reports::receive(shared, from, reports),
             Body::LimitReports(reports) => limits::receive(shared, from, reports),
+            Body::QuotaReports(reports) => quotas::receive(shared, from, reports),
             Body::Streams(message) => streams::receive(shared, socket, from, message),
             Body::TrialClaims(claims) => {
                 if let Some(peer) = self.gateways.get_mut(&from) {
@@ -286,6 +290,7 @@
         }
         let live = self.live_gateways(now).count();
         state.retry_share.update(now);
+        state.set_known_gateways(now, 1 + self.gateways.len().max(self.other_seeds));
         // After its start, a gateway may not yet have heard from all those with which it
         // shares connections. For one retry window it assumes that all seeds run.
         let recently_started = now < self.started + shared.bounds().retry_window;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -20,6 +20,7 @@
         limits::process_id,
         loop_probe, peers,
         quarantine_store::{QuarantineReader, save_reports},
+        quotas,
         shared::{Bounds, SharedState, ShutdownPlan},
     },
     gossip::Socket,
@@ -107,6 +108,7 @@
     tokio::spawn(dispatch_loop(shared.clone()));
     tokio::spawn(expire_connections(shared.clone()));
     tokio::spawn(loop_probe::run(shared.clone()));
+    tokio::spawn(quotas::run(shared.clone()));
     let (stop, stopped) = stop_channel();
     let limits = HeaderLimits { read_timeout: IDLE_TIMEOUT, max_header_bytes: MAX_HEADER_BYTES };
     let handler = {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -18,7 +18,7 @@
             Ticket, TimeLimit,
         },
         ids::{CrashId, EndpointId, VersionId},
-        limits::LoopLag,
+        limits::{LoopLag, SharedQuotas},
         placement::DemandMeter,
         quarantine::{RunGate, Suspect},
         resumption::{Lookups, ServiceVersions, StreamOrigins},
@@ -80,6 +80,10 @@
     // Each service has its own retry budget.
     pub(super) retry_budgets: HashMap<ServiceName, RetryBudget>,
     pub(super) retry_share: RetryShare,
+    // None until a configuration has accounts with limits.
+    pub(super) quotas: Option<SharedQuotas>,
+    // Gateways that are known, this one included.
+    pub(super) known_gateways: usize,
     // Where the decision on each waiting request is delivered.
     pending: HashMap<Ticket, oneshot::Sender<EndpointChoice>>,
     store_unavailable: bool,
@@ -126,6 +130,8 @@
     pub(super) peer_update_due: Notify,
     // Triggers a message to all peers about requests to endpoints that limit them.
     pub(super) limits_changed: Notify,
+    // Triggers a report of what was charged to client accounts.
+    pub(super) quota_report_due: Notify,
     // Triggers messages to peers about streams that have begun here or that callers resume.
     pub(super) streams_changed: Notify,
     // Wakes requests that wait for what peers know of a stream.
@@ -161,6 +167,8 @@
             cache: StoreCache::default(),
             retry_budgets: HashMap::new(),
             retry_share,
+            quotas: None,
+            known_gateways: 1,
             pending: HashMap::new(),
             store_unavailable: false,
             store_recovered_at: None,
@@ -179,6 +187,7 @@
             request_queued: Notify::new(),
             peer_update_due: Notify::new(),
             limits_changed: Notify::new(),
+            quota_report_due: Notify::new(),
             streams_changed: Notify::new(),
             origin_heard: Notify::new(),
             adapter_wanted: Notify::new(),
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -8,7 +8,7 @@
         forwarding::{self, LoadReport, Residency},
         quarantine::{self, Suspect},
     },
-    gossip::{LimitReports, MAX_DATAGRAM_BYTES, Streams},
+    gossip::{LimitReports, MAX_DATAGRAM_BYTES, QuotaReports, Streams},
 };
 
 /// Bytes in a datagram of [`CrashReports`] beside the reports, at most.
@@ -20,7 +20,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
     /// The message; absent when its kind is unknown to this version.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<Body>,
 }
 
@@ -51,6 +51,9 @@
     /// From a gateway to another gateway.
     #[prost(message, tag = "8")]
     TrialClaims(TrialClaims),
+    /// From a gateway to another gateway.
+    #[prost(message, tag = "9")]
+    QuotaReports(QuotaReports),
 }
 
 /// Announces a gateway to an engine agent, with the changes that it requests there.
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -5,6 +5,7 @@
 
 mod limit_reports;
 mod messages;
+mod quota_reports;
 mod socket;
 mod streams;
 
@@ -14,5 +15,6 @@
     EngineLoad, EngineStatus, GatewayStatus, Hello, LoadedModel, ResidencyChange, SuspectKind,
     TrialClaims,
 };
+pub use quota_reports::{AccountQuota, InvalidQuota, QuotaReports};
 pub use socket::{MAX_DATAGRAM_BYTES, Socket, rotating_subset};
 pub use streams::{OriginKind, StreamOrigin, Streams};
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -66,3 +66,11 @@
 /// Crashes of endpoints that a gateway counted against a request or a segment of a prompt,
 /// one for each log line of a suspect.
 pub const SUSPECTED_CRASHES: &str = "goldcrestpitch_suspected_crashes_total";
+/// Part of the quotas of client accounts that accrues at a gateway: 1 if it hears all others.
+pub const QUOTA_PART: &str = "goldcrestpitch_quota_part";
+/// Age of the oldest report of a reachable gateway on quotas, in seconds.
+pub const QUOTA_AGE: &str = "goldcrestpitch_quota_age_seconds";
+/// What all gateways may still charge to a client account; negative while it is owed.
+pub const QUOTA_LEVEL: &str = "goldcrestpitch_quota_level";
+/// What a gateway has charged to a client account since its start.
+pub const QUOTA_CHARGED: &str = "goldcrestpitch_quota_charged";
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -4,10 +4,13 @@
 use std::time::Instant;
 
 use goldcrestpitch::{
-    core::quarantine::{self, SegmentHistory, Suspect},
+    core::{
+        limits,
+        quarantine::{self, SegmentHistory, Suspect},
+    },
     gossip::{
         Body, ChangeKind, CrashReport, CrashReports, Datagram, Demand, EngineStatus, GatewayStatus,
-        Hello, LoadedModel, MAX_DATAGRAM_BYTES, ResidencyChange, SuspectKind,
+        Hello, LoadedModel, MAX_DATAGRAM_BYTES, QuotaReports, ResidencyChange, SuspectKind,
     },
 };
 use prost::Message;
@@ -199,3 +202,62 @@
     let bytes = encoded_size(Body::Hello(hello));
     assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}");
 }
+
+fn quota_report(accounts: usize) -> limits::QuotaReport {
+    let account = |i| limits::AccountReport {
+        account: format!("{}{i:04}", "n".repeat(60)).into(),
+        charged: 1e12 + i as f64,
+        level: -0.5,
+    };
+    limits::QuotaReport {
+        start: u64::MAX,
+        sequence: u64::MAX,
+        gateways: 34,
+        is_settled: true,
+        accounts: (0..accounts).map(account).collect(),
+    }
+}
+
+/// Guards against reports that are dropped by the sender because they are too large.
+#[test]
+fn quota_reports_of_any_size_are_distributed_over_datagrams() {
+    for accounts in [0, 1, 16, 200] {
+        let report = quota_report(accounts);
+        let batches = QuotaReports::batches(report.clone());
+        let mut read = limits::QuotaReport { accounts: Vec::new(), ..report.clone() };
+        for batch in batches {
+            let bytes = encoded_size(Body::QuotaReports(batch.clone()));
+            assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}");
+            read.accounts.extend(limits::QuotaReport::try_from(batch).unwrap().accounts);
+        }
+        assert_eq!(read, report);
+    }
+}
+
+/// Guards against quotas that an amount which is no number makes useless for good.
+#[test]
+fn quota_report_with_an_implausible_number_is_not_read() {
+    let mut report = quota_report(1);
+    report.accounts[0].charged = f64::NAN;
+    assert!(limits::QuotaReport::try_from(QuotaReports::from(report)).is_err());
+    let report = limits::QuotaReport { gateways: usize::MAX, ..quota_report(1) };
+    assert!(limits::QuotaReport::try_from(QuotaReports::from(report)).is_err());
+}
+
+/// Guards against versions that fail to read a datagram of a kind they do not know.
+#[test]
+fn quota_report_is_ignored_by_an_earlier_version() {
+    #[derive(Clone, PartialEq, Message)]
+    struct OldDatagram {
+        #[prost(oneof = "OldBody", tags = "3")]
+        body: Option<OldBody>,
+    }
+    #[derive(Clone, PartialEq, prost::Oneof)]
+    enum OldBody {
+        #[prost(message, tag = "3")]
+        GatewayStatus(GatewayStatus),
+    }
+    let message = QuotaReports::from(quota_report(16));
+    let sent = Datagram { body: Some(Body::QuotaReports(message)) }.encode_to_vec();
+    assert_eq!(OldDatagram::decode(sent.as_slice()).unwrap().body, None);
+}
