--- a/src/platform/accounts.rs
+++ b/src/platform/accounts.rs
@@ -2,6 +2,7 @@
 
 use hyper::header::HeaderValue;
 use serde::Deserialize;
+use serde_json::Value;
 
 use crate::{
     core::accounts::{Account, Accounts, QuotaSpec, QuotaUnit},
@@ -13,7 +14,7 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
-pub(super) struct AccountWire {
+struct AccountWire {
     name: String,
     #[serde(default)]
     api_keys: Option<Vec<String>>,
@@ -48,8 +49,18 @@
 /// The directory of the accounts.
 ///
 /// # Errors
-/// [`DecodeError`] for a name that no header can carry. Keys never appear in it.
-pub(super) fn accounts(wire: Vec<AccountWire>) -> Result<Accounts, DecodeError> {
+/// [`DecodeError`] for an account that cannot be read or has a name that no header can carry. It
+/// is logged, and so leaves out the error of `serde_json`, which may quote a key.
+pub(super) fn accounts(list: Value) -> Result<Accounts, DecodeError> {
+    let Value::Array(list) = list else {
+        return Err(DecodeError("the client accounts are not a list".to_owned()));
+    };
+    let read = |(i, value)| {
+        let unreadable = |_| DecodeError(format!("client account {} cannot be read", i + 1));
+        serde_json::from_value(value).map_err(unreadable)
+    };
+    let wire: Vec<AccountWire> =
+        list.into_iter().enumerate().map(read).collect::<Result<_, _>>()?;
     let unusable =
         |a: &&AccountWire| a.name.is_empty() || HeaderValue::from_bytes(a.name.as_bytes()).is_err();
     if let Some(account) = wire.iter().find(unusable) {
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -9,10 +9,7 @@
         DEFAULT_PAUSE_TARGET, EngineSpec, ModelSpec, RequestLimits, Route, RouteKind, RouteTable,
         Service, WeightedService,
     },
-    platform::{
-        DecodeError,
-        accounts::{AccountWire, accounts},
-    },
+    platform::{DecodeError, accounts::accounts},
 };
 
 /// Key of the configuration in the topic of the operator's records.
@@ -53,7 +50,7 @@
     limits: Option<LimitsWire>,
     // The client accounts.
     #[serde(default)]
-    tenants: Option<Vec<AccountWire>>,
+    tenants: Option<serde_json::Value>,
 }
 
 #[derive(Deserialize)]
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -128,6 +128,21 @@
     assert_eq!(headers["x-tenant"].as_bytes(), "Müller & Söhne".as_bytes());
 }
 
+/// Fails if the error for an unreadable account, which is logged, quotes a key.
+#[test]
+fn errors_of_unreadable_accounts_disclose_no_keys() {
+    for list in [
+        json!([{ "Name": "a" }, { "Name": "b", "ApiKeys": "secret-key" }]),
+        json!([{ "Name": "a" }, { "Name": "b", "ApiKeys": [["secret-key"]] }]),
+        json!([{ "Name": "a" }, { "Name": "b", "Priority": "secret-key" }]),
+        json!([{ "Name": "a" }, "secret-key"]),
+    ] {
+        assert_eq!(decode(&list).unwrap_err(), "client account 2 cannot be read");
+    }
+    let err = decode(&json!("secret-key")).unwrap_err();
+    assert_eq!(err, "the client accounts are not a list");
+}
+
 /// Fails if gateways read a contradictory list differently, or if an empty key opens an account.
 #[test]
 fn contradictory_keys_and_names_have_one_meaning() {
