Gateways charge requests to the shared quota of their account

Accounts and the shared quota were built apart; the hook that admitted every request now charges the quota, and a new configuration sets its limits.

--- a/src/core/limits/shared_quota/report.rs
+++ b/src/core/limits/shared_quota/report.rs
@@ -1,9 +1,7 @@
 //! What gateways tell each other about quotas.
 
-use std::sync::Arc;
+pub use crate::core::ids::AccountName;
 
-/// Name of a client account.
-pub type AccountName = Arc<str>;
 /// Identifies one start of a gateway.
 pub type StartId = u64;
 
--- a/src/gateway/accounts.rs
+++ b/src/gateway/accounts.rs
@@ -14,11 +14,18 @@
 
 use crate::{
     core::{
-        accounts::{Access, Account, AccountLabels, Denial, KeyFingerprint, check_access},
+        accounts::{
+            Access, Account, AccountLabels, Denial, KeyFingerprint, QuotaSpec, check_access,
+        },
         forwarding::{Route, RouteTable},
+        limits::{QuotaLimit, QuotaWindow},
     },
     errors::{Code, Refusal},
-    gateway::{refusals, request::ProxiedRequest, shared::SharedState},
+    gateway::{
+        refusals,
+        request::ProxiedRequest,
+        shared::{SharedState, State},
+    },
     http::Reply,
     platform,
     telemetry::names,
@@ -62,6 +69,8 @@
     labels: AccountLabels,
     // When the store last answered a read of the configuration.
     read_at: Option<Instant>,
+    /// No gateway of this system has run before, so that nothing was charged to a quota.
+    pub(super) first_start: bool,
 }
 
 /// A refusal for the client account, for the log and the metrics.
@@ -110,13 +119,29 @@
     ///
     /// # Errors
     /// The time until the quota is expected to suffice.
-    // No quota is kept yet: every request is admitted.
-    fn charge_quota(&self, _now: Instant, _account: &Account, _cost: f64) -> Result<(), Duration> {
-        Ok(())
+    fn charge_quota(&self, now: Instant, account: &Account, cost: f64) -> Result<(), Duration> {
+        self.lock().charge_quota(now, &account.name, cost)
     }
 
     /// Takes back the charge of a request that never ran.
-    fn refund_quota(&self, _now: Instant, _account: &Account, _cost: f64) {}
+    fn refund_quota(&self, now: Instant, account: &Account, cost: f64) {
+        self.lock().refund_quota(now, &account.name, cost);
+    }
+
+    /// Takes over the quotas of the accounts in a new configuration.
+    pub(super) fn update_quotas(&self, state: &mut State, now: Instant, table: &RouteTable) {
+        let AccountSettings { quota_window, quota_overage, quota_slack, .. } =
+            *self.account_settings();
+        let window =
+            QuotaWindow { window: quota_window, overage: quota_overage, slack: quota_slack };
+        let accounts = table.accounts.iter().flat_map(|accounts| accounts.iter());
+        let limits = accounts.filter_map(|account| {
+            let QuotaSpec { rate_per_s, burst, .. } = account.quota?;
+            Some((account.name.clone(), QuotaLimit { rate_per_s, burst }))
+        });
+        let first_start = state.accounts.first_start;
+        state.configure_quotas(now, window, fastrand::u64(..), first_start, limits);
+    }
 
     fn log_account_refusal(&self, refused: &Refused<'_>, refusal: &Refusal) {
         let name = refused.account.map(|account| &account.name);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -66,6 +66,7 @@
         }
         info!("event=configuration version={} before={current:?} source={source}", table.version);
         gauge!(names::REVISION).set(table.version as f64);
+        self.shared.update_quotas(&mut state, Instant::now(), &table);
         state.table = Some(Arc::new(table));
         state.cache.configuration = Some(text);
     }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -102,6 +102,7 @@
     let share = RetryShare::new(Instant::now(), window, ids, first_start);
     let shared =
         SharedState::new(locality, config.bounds, config.accounts, share, fastrand::u64(..));
+    shared.lock().accounts.first_start = first_start;
     let store = Store::new(config.store);
     tokio::spawn(follow_topic(store.clone(), RouteUpdater { shared: shared.clone() }));
     tokio::spawn(follow_topic(store.clone(), EndpointUpdater::new(shared.clone())));
--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -11,7 +11,7 @@
 use tokio::time;
 
 use crate::{
-    core::limits::{AccountName, QuotaLimit, QuotaReport, QuotaWindow, SharedQuotas},
+    core::{ids::AccountName, limits::{QuotaLimit, QuotaReport, QuotaWindow, SharedQuotas}},
     gateway::{
         limits,
         shared::{SharedState, State},
@@ -117,7 +117,6 @@
 
 impl State {
     /// Takes over the limits of a new configuration. `start` identifies this start of the process.
-    #[expect(dead_code, reason = "called once accounts are part of the configuration")]
     pub(super) fn configure_quotas(
         &mut self,
         now: Instant,
@@ -141,7 +140,6 @@
     ///
     /// # Errors
     /// The time until room is expected.
-    #[expect(dead_code, reason = "called once accounts are part of the configuration")]
     pub(super) fn charge_quota(
         &mut self,
         now: Instant,
@@ -152,7 +150,6 @@
     }
 
     /// Takes back the charge of a request that never ran.
-    #[expect(dead_code, reason = "called once accounts are part of the configuration")]
     pub(super) fn refund_quota(&mut self, now: Instant, account: &AccountName, cost: f64) {
         if let Some(quotas) = &mut self.quotas {
             quotas.refund(now, account, cost);
