--- a/src/cli/platform.rs
+++ b/src/cli/platform.rs
@@ -95,6 +95,7 @@
     let metrics = Metrics::install();
     info!("event=started role=engine-agent name={}", settings.name);
     let config = EngineAgentConfig {
+        admits: settings.admits,
         name: settings.name.clone(),
         service: settings.service.clone(),
         engine: settings.engine,
--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -9,6 +9,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -65,6 +66,9 @@
 
 #[derive(Clone, Debug)]
 struct RunningRequest {
+    // As it was queued, with its priority.
+    request: Arc<QueuedRequest>,
+    priority: u8,
     endpoint: EndpointId,
     service: ServiceName,
     // Work to read the prompt, in tokens of the data sheet's engine.
@@ -73,6 +77,7 @@
     alone: Option<u32>,
     kv_tokens: u64,
     sent_at: Instant,
+    admitted_at: Instant,
     expected: Duration,
     responded: bool,
     model_ref: Option<ModelRef>,
@@ -92,6 +97,9 @@
     pub(super) avoided_until: HashMap<EndpointId, Instant>,
     pub(super) silent_until: HashMap<EndpointId, Instant>,
     replaced_until: HashMap<EndpointId, Instant>,
+    pub(super) full_until: HashMap<EndpointId, Instant>,
+    // Endpoints whose agents decide when a prompt is sent.
+    admitting: HashSet<EndpointId>,
     pub(super) missing_models: MissingModels,
     pub(super) model_loads: ModelLoads,
     pub(super) speeds: PrefillSpeeds,
@@ -128,6 +136,8 @@
             avoided_until: HashMap::new(),
             silent_until: HashMap::new(),
             replaced_until: HashMap::new(),
+            full_until: HashMap::new(),
+            admitting: HashSet::new(),
             missing_models: MissingModels::default(),
             model_loads: ModelLoads::default(),
             speeds: PrefillSpeeds::default(),
@@ -209,6 +219,45 @@
         }
     }
 
+    /// Records whether the agent of an endpoint decides when prompts are sent there.
+    pub fn set_admits(&mut self, endpoint: &EndpointId, admits: bool) {
+        match admits {
+            true => self.admitting.insert(endpoint.clone()),
+            false => self.admitting.remove(endpoint),
+        };
+    }
+
+    /// Whether the agent of an endpoint decides when prompts are sent there, and was heard.
+    pub fn admits(&self, now: Instant, endpoint: &str) -> bool {
+        self.admitting.contains(endpoint) && self.load(endpoint).report_age(now).is_some()
+    }
+
+    /// Work to read the prompt of a request that is to be sent, in tokens of the data sheet's
+    /// engine; none if it states no prompt.
+    pub fn prompt_work(&self, ticket: Ticket) -> Option<u32> {
+        let running = self.running.get(&ticket)?;
+        (0 < running.request.requirements.prompt_tokens).then_some(running.prompt_tokens)
+    }
+
+    /// Records that a request is sent only now, since its prompt had to be admitted.
+    pub fn record_admitted(&mut self, now: Instant, ticket: Ticket) {
+        if let Some(running) = self.running.get_mut(&ticket) {
+            running.admitted_at = now;
+        }
+    }
+
+    /// Queues a request again that was not sent, in its former place. Its endpoint has no room
+    /// for this long.
+    pub fn requeue(&mut self, now: Instant, ticket: Ticket, full: Duration) {
+        self.record_not_run(ticket);
+        let Some(running) = self.running.remove(&ticket) else { return };
+        if let Some(load) = self.loads.get_mut(&running.endpoint) {
+            load.record_end(running.prompt_tokens, running.kv_tokens, false);
+        }
+        self.full_until.insert(running.endpoint, now + full);
+        self.queue.insert(running.priority, (*running.request).clone());
+    }
+
     /// Records the first part of a response and its latency.
     pub fn record_first_response(&mut self, now: Instant, ticket: Ticket) {
         let Some(running) = self.running.get_mut(&ticket).filter(|r| !r.responded) else { return };
@@ -218,7 +267,7 @@
         }
         let Some(load) = self.loads.get_mut(&running.endpoint) else { return };
         load.record_first_response(now, running.prompt_tokens);
-        let took = now.saturating_duration_since(running.sent_at);
+        let took = now.saturating_duration_since(running.admitted_at);
         load.record_latency(took, running.expected);
         if let (Some(tokens), Some((model, _))) = (running.alone, &running.model_ref) {
             self.speeds.record(&running.service, model, tokens, took.as_secs_f64() * 1e3);
@@ -307,6 +356,8 @@
         self.avoided_until.retain(|id, _| registry.get(id).is_some());
         self.silent_until.retain(|id, _| registry.get(id).is_some());
         self.replaced_until.retain(|id, _| registry.get(id).is_some());
+        self.full_until.retain(|id, _| registry.get(id).is_some());
+        self.admitting.retain(|id| registry.get(id).is_some());
         self.missing_models.retain(|id| registry.get(id).is_some());
         self.model_loads.retain(|id| registry.get(id).is_some());
         let started_ms = |id: &EndpointId| registry.get(id).map(|e| e.registration.started_ms);
@@ -389,7 +440,13 @@
         unserved
     }
 
-    pub(super) fn start(&mut self, now: Instant, request: &QueuedRequest, endpoint: &EndpointId) {
+    pub(super) fn start(
+        &mut self,
+        now: Instant,
+        priority: u8,
+        request: &Arc<QueuedRequest>,
+        endpoint: &EndpointId,
+    ) {
         let requirements = &request.requirements;
         self.limits_changed |= self.limits.take(endpoint);
         self.rests.take(now, endpoint);
@@ -409,12 +466,15 @@
         let is_alone = load.total_awaiting_first_token(now) == 0;
         load.record_sent(now, prompt_tokens, requirements.kv_tokens());
         let running = RunningRequest {
+            request: request.clone(),
+            priority,
             endpoint: endpoint.clone(),
             service: request.service.clone(),
             prompt_tokens,
             alone: is_alone.then_some(read_tokens),
             kv_tokens: requirements.kv_tokens(),
             sent_at: now,
+            admitted_at: now,
             expected,
             responded: false,
             model_ref: requirements.model_ref(),
--- a/src/core/forwarding/poll.rs
+++ b/src/core/forwarding/poll.rs
@@ -224,13 +224,14 @@
     fn carry_out(
         &mut self,
         now: Instant,
-        request: &QueuedRequest,
+        request: &Arc<QueuedRequest>,
         decision: Decision,
         round: &mut Round,
     ) {
+        let priority = self.queue.priority_of(request.ticket);
         self.queue.remove(request.ticket);
         if let Decision::Send(endpoint) = &decision {
-            self.start(now, request, endpoint);
+            self.start(now, priority, request, endpoint);
         }
         round.decisions.push((request.ticket, decision));
     }
--- a/src/core/forwarding/selection.rs
+++ b/src/core/forwarding/selection.rs
@@ -236,6 +236,9 @@
         if connection_limit <= load.running() as usize {
             return None;
         }
+        if self.full_until.get(endpoint.id()).is_some_and(|until| now < *until) {
+            return None;
+        }
         let avoidance = self.avoidance(now, endpoint);
         let is_limited = self.limits.rate(endpoint.id()).is_some();
         let limit = if is_limited { LIMITED_COST_MS } else { 0.0 };
--- a/src/core/forwarding/wait_queue.rs
+++ b/src/core/forwarding/wait_queue.rs
@@ -104,6 +104,11 @@
         self.requests.get(&ticket).map(|w| &w.request)
     }
 
+    /// Priority of a request; the lowest if it does not wait.
+    pub(super) fn priority_of(&self, ticket: Ticket) -> u8 {
+        self.requests.get(&ticket).map_or(u8::MAX, |w| w.key.0)
+    }
+
     pub(super) fn group_of(&self, ticket: Ticket) -> Option<&Arc<GroupKey>> {
         self.requests.get(&ticket).map(|w| &w.group)
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -3,6 +3,7 @@
 //! Each module takes timestamped events and returns the actions to perform, and can be
 //! embedded on its own.
 
+pub mod admission;
 pub mod attempt;
 pub mod config;
 pub mod forwarding;
--- a/src/core/residency/arrivals.rs
+++ b/src/core/residency/arrivals.rs
@@ -18,7 +18,7 @@
 /// ```
 /// use std::time::{Duration, Instant};
 /// use goldcrestpitch::core::residency::{ArrivalTracker, RunningRequest};
-/// let request = |id: &str, tokens| RunningRequest { id: id.into(), tokens };
+/// let request = |id: &str, tokens| RunningRequest { id: id.into(), tokens, events: 0 };
 /// let now = Instant::now();
 /// let mut arrivals = ArrivalTracker::default();
 /// assert_eq!(arrivals.recent_tokens(now, &[request("a", 900)]), 900);
--- a/src/core/residency/engine_report.rs
+++ b/src/core/residency/engine_report.rs
@@ -33,6 +33,8 @@
     pub id: Arc<str>,
     /// Tokens of the request that the engine holds in memory.
     pub tokens: u64,
+    /// Events that it has produced.
+    pub events: u64,
 }
 
 impl EngineReport {
--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -13,12 +13,14 @@
 
 use crate::{
     core::{
+        admission::PromptAdmission,
         forwarding::{EndpointState, ServiceName},
         residency::{
             ArrivalTracker, ChangeSource, EngineOrder, EngineReport, Operation, OrderAnswer,
             OrderError, OrderScheduler,
         },
     },
+    engine_agent::admission,
     fleet::{TopicHandler, follow_topic, newest_configuration},
     gossip::{
         Body, ChangeKind, EngineLoad, EngineStatus, Hello, LoadedModel, ResidencyChange, Socket,
@@ -67,25 +69,30 @@
     pub engine: SocketAddr,
     /// Address of the store.
     pub store: SocketAddr,
+    /// Gateways ask the agent before they send prompts to the engine.
+    pub admits: bool,
 }
 
 /// State that the tasks of the agent share.
 #[derive(Debug)]
-struct SharedState {
+pub(super) struct SharedState {
     config: EngineAgentConfig,
     engine: EngineClient,
-    socket: Socket,
+    pub(super) socket: Socket,
     state: Mutex<State>,
     change_requested: Notify,
+    // Wakes the task that admits prompts.
+    pub(super) admission_changed: Notify,
     started_ms: u64,
 }
 
 #[derive(Debug, Default)]
-struct State {
+pub(super) struct State {
     order_scheduler: OrderScheduler,
+    pub(super) admission: PromptAdmission,
     // The report that was read last. The scheduler has its own copy, which is cleared by
     // the answer to an order.
-    last_report: Option<EngineReport>,
+    pub(super) last_report: Option<EngineReport>,
     arrivals: ArrivalTracker,
     gateways: HashMap<SocketAddr, GatewayInfo>,
     sequence: u64,
@@ -127,6 +134,7 @@
         socket,
         state: Mutex::default(),
         change_requested: Notify::new(),
+        admission_changed: Notify::new(),
         started_ms: since_epoch.as_millis() as u64,
     });
     let spec = SpecUpdater { shared: shared.clone(), version: None };
@@ -134,13 +142,14 @@
         tokio::spawn(follow_topic(store.clone(), spec)).abort_handle(),
         tokio::spawn(obtain_fencing_tokens(shared.clone(), store)).abort_handle(),
         tokio::spawn(receive_messages(shared.clone())).abort_handle(),
+        tokio::spawn(admission::run(shared.clone())).abort_handle(),
         tokio::spawn(control_engine(shared)).abort_handle(),
     ];
     EngineAgent { tasks: tasks.into() }
 }
 
 impl SharedState {
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -172,7 +181,9 @@
         let service: ServiceName = self.shared.config.service.as_str().into();
         if let Some(spec) = table.service(&service).and_then(|s| s.engine.clone()) {
             info!("event=configuration version={} models={}", table.version, spec.models.len());
-            self.shared.lock().order_scheduler.set_spec(spec);
+            let mut state = self.shared.lock();
+            state.admission.configure(spec.slots, spec.tokens_per_event, spec.kv_tokens);
+            state.order_scheduler.set_spec(spec);
         }
     }
 }
@@ -204,8 +215,10 @@
             time::sleep(REPORT_INTERVAL).await;
             continue;
         };
-        if let Body::Hello(hello) = body {
-            shared.handle_hello(from, &hello);
+        match body {
+            Body::Hello(hello) => shared.handle_hello(from, &hello),
+            Body::AdmissionRequest(request) => shared.handle_admission(from, &request),
+            _ => {}
         }
     }
 }
@@ -312,6 +325,7 @@
             weights_mib: state.order_scheduler.used_memory(report),
             can_order: state.order_scheduler.can_issue_orders(),
             in_use: state.order_scheduler.in_use(now).map(ToString::to_string).collect(),
+            admits: self.config.admits,
         }
     }
 }
@@ -359,7 +373,14 @@
         match report {
             Ok(mut report) => {
                 let mut state = shared.lock();
-                report.load.recent_tokens = state.arrivals.recent_tokens(now, &report.running);
+                let started_ms = report.started_ms;
+                if state.last_report.as_ref().is_some_and(|r| r.started_ms != started_ms) {
+                    state.admission.restart();
+                }
+                state.admission.record_report(now, &report.running);
+                shared.admit_waiting(&mut state, now);
+                let arrived = state.arrivals.recent_tokens(now, &report.running);
+                report.load.recent_tokens = arrived.max(state.admission.backlog(now));
                 if std::mem::take(&mut state.engine_lost) {
                     let started_ms = report.started_ms.unwrap_or(0);
                     info!("event=engine_back seq={} started_ms={started_ms}", report.order_seq);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
     core::{forwarding::RouteKind, ids::EndpointId, quarantine::RunEnd},
     errors::{Code, Refusal},
     gateway::{
+        admission::Admission,
         outbound::{AttemptError, MAX_RESPONSE_BYTES, SentRequest},
         refusals,
         request::ProxiedRequest,
@@ -262,17 +263,15 @@
                 &tried,
                 self.version.required(),
             );
-            let Ok((guard, choice)) =
-                time::timeout_at(self.limit.deadline().into(), choosing).await
-            else {
+            let deadline = self.limit.deadline().into();
+            let Ok((guard, choice)) = time::timeout_at(deadline, choosing).await else {
                 return Err(self.deadline_exceeded());
             };
-            let (endpoint, address) = match choice {
-                EndpointChoice::Endpoint { endpoint, address } => (endpoint, address),
-                EndpointChoice::Refused(reason, delay) => {
-                    return Err(self.no_further_attempt(refusals::for_reason(reason, delay)));
-                }
+            let admitting = self.admitted_endpoint(&guard, choice);
+            let Ok(admitted) = time::timeout_at(deadline, admitting).await else {
+                return Err(self.deadline_exceeded());
             };
+            let (endpoint, address) = admitted?;
             if self.limit.deadline() <= Instant::now() {
                 // Nothing was sent, so this does not count against the endpoint.
                 return Err(self.deadline_exceeded());
@@ -289,6 +288,30 @@
         }
     }
 
+    /// Waits until an endpoint admits the request: the chosen one, or another that is chosen
+    /// instead.
+    async fn admitted_endpoint(
+        &self,
+        guard: &RequestGuard,
+        mut choice: EndpointChoice,
+    ) -> Result<(EndpointId, SocketAddr), Refusal> {
+        loop {
+            let (endpoint, address) = match choice {
+                EndpointChoice::Endpoint { endpoint, address } => (endpoint, address),
+                EndpointChoice::Refused(reason, delay) => {
+                    return Err(self.no_further_attempt(refusals::for_reason(reason, delay)));
+                }
+            };
+            match self.ask_admission(guard, &endpoint, address).await {
+                Admission::Send => return Ok((endpoint, address)),
+                Admission::Full(wait) => {
+                    self.log_not_admitted(&endpoint, wait);
+                    choice = self.shared.choose_again(guard, wait).await;
+                }
+            }
+        }
+    }
+
     /// The exchange with the endpoint of an attempt, up to the response head.
     fn send(
         &self,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway process: accepts callers' requests and forwards them to endpoints
 //! according to the operator's routes.
 
+mod admission;
 mod attempt;
 mod bootstrap;
 mod crash_check;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,7 +25,7 @@
         placement::PlannerTenure,
     },
     gateway::{
-        bootstrap,
+        admission, bootstrap,
         crash_reports::{self, CrashReporter},
         limits,
         planner::{self, AgentInfo, Planner},
@@ -112,6 +112,7 @@
             }
             () = shared.peer_update_due.notified() =>
                 peers.send_to_gateways(&shared, &socket, true),
+            () = shared.admission_due.notified() => admission::send_due(&shared, &socket, own),
             () = shared.limits_changed.notified() => peers.send_limits(&shared, &socket),
             () = shared.streams_changed.notified() => peers.send_streams(&shared, &socket),
             () = shared.adapter_wanted.notified() => send_adapter_requests(&shared, &socket, own),
@@ -201,7 +202,8 @@
                     self.update_position(&mut shared.lock(), now, own);
                 }
             }
-            Body::Hello(_) => {}
+            Body::AdmissionAnswer(answer) => admission::receive(shared, &answer),
+            Body::Hello(_) | Body::AdmissionRequest(_) => {}
         }
     }
 
@@ -237,6 +239,7 @@
         state.registry.set_agent_residency(&id, Some(status.residency()));
         let loading = Some(status.loading.as_str()).filter(|model| !model.is_empty());
         state.dispatcher.record_loading(now, &id, loading.map(Into::into));
+        state.dispatcher.set_admits(&id, status.admits);
         record_load(&mut state, now, &id, &EngineLoad::from(status));
         if status.draining {
             state.registry.mark_draining(&id);
@@ -283,6 +286,7 @@
             self.agents.remove(&id);
             state.dispatcher.record_loading(now, &id, None);
             state.registry.set_agent_residency(&id, None);
+            state.dispatcher.set_admits(&id, false);
         }
         let live = self.live_gateways(now).count();
         state.retry_share.update(now);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -8,10 +8,11 @@
 };
 
 use metrics::gauge;
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 
 use crate::{
     core::{
+        admission::Answer,
         forwarding::{
             Decision, Dispatcher, Endpoint, EndpointRegistry, Locality, REREGISTRATION_GRACE,
             RefusalReason, Requirements, RetryBudget, RetryShare, Route, RouteTable, ServiceName,
@@ -28,6 +29,7 @@
         run::{RunTarget, crash_id},
         upstream::ConnectionPool,
     },
+    gossip::AdmissionRequest,
     platform::StoreEra,
     telemetry::names,
 };
@@ -82,6 +84,10 @@
     pub(super) retry_share: RetryShare,
     // Where the decision on each waiting request is delivered.
     pending: HashMap<Ticket, oneshot::Sender<EndpointChoice>>,
+    // Where the answers of agents on the admission of prompts are delivered.
+    pub(super) admission_answers: HashMap<Ticket, mpsc::UnboundedSender<Answer>>,
+    // Requests for admission that are to be sent, with the address of the engine.
+    pub(super) admission_outbox: Vec<(SocketAddr, AdmissionRequest)>,
     store_unavailable: bool,
     store_recovered_at: Option<Instant>,
     // The latest era in which the store returned from an older copy since the start.
@@ -124,6 +130,8 @@
     pub(super) request_queued: Notify,
     // Triggers a message to all peers before the next regular one is due.
     pub(super) peer_update_due: Notify,
+    // Triggers messages to agents about prompts to be admitted.
+    pub(super) admission_due: Notify,
     // Triggers a message to all peers about requests to endpoints that limit them.
     pub(super) limits_changed: Notify,
     // Triggers messages to peers about streams that have begun here or that callers resume.
@@ -162,6 +170,8 @@
             retry_budgets: HashMap::new(),
             retry_share,
             pending: HashMap::new(),
+            admission_answers: HashMap::new(),
+            admission_outbox: Vec::new(),
             store_unavailable: false,
             store_recovered_at: None,
             store_era: None,
@@ -178,6 +188,7 @@
             pool: ConnectionPool::default(),
             request_queued: Notify::new(),
             peer_update_due: Notify::new(),
+            admission_due: Notify::new(),
             limits_changed: Notify::new(),
             streams_changed: Notify::new(),
             origin_heard: Notify::new(),
@@ -416,6 +427,21 @@
         (guard, rx.await.unwrap_or(refused))
     }
 
+    /// Queues a request again whose endpoint has no room for this long, and waits until another
+    /// is chosen or it is refused.
+    pub(super) async fn choose_again(&self, guard: &RequestGuard, full: Duration) -> EndpointChoice {
+        let (tx, rx) = oneshot::channel();
+        {
+            let now = Instant::now();
+            let mut state = self.lock();
+            state.dispatcher.requeue(now, guard.ticket, full);
+            state.pending.insert(guard.ticket, tx);
+        }
+        self.request_queued.notify_one();
+        let refused = EndpointChoice::Refused(RefusalReason::NoEndpoint, Duration::ZERO);
+        rx.await.unwrap_or(refused)
+    }
+
     /// Lets the dispatcher decide on the waiting requests and delivers the decisions: now, or
     /// shortly after the last time.
     pub(super) fn dispatch_waiting(&self) {
@@ -496,6 +522,11 @@
 }
 
 impl RequestGuard {
+    /// Identifies the request.
+    pub(super) fn ticket(&self) -> Ticket {
+        self.ticket
+    }
+
     /// Records that the first part of the response has arrived.
     pub(super) fn record_first_response(&self) {
         self.shared.lock().dispatcher.record_first_response(Instant::now(), self.ticket);
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -8,7 +8,7 @@
         forwarding::{self, LoadReport, Residency},
         quarantine::{self, Suspect},
     },
-    gossip::{LimitReports, MAX_DATAGRAM_BYTES, Streams},
+    gossip::{AdmissionAnswer, AdmissionRequest, LimitReports, MAX_DATAGRAM_BYTES, Streams},
 };
 
 /// Bytes in a datagram of [`CrashReports`] beside the reports, at most.
@@ -20,7 +20,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
     /// The message; absent when its kind is unknown to this version.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 10, 11")]
     pub body: Option<Body>,
 }
 
@@ -51,6 +51,12 @@
     /// From a gateway to another gateway.
     #[prost(message, tag = "8")]
     TrialClaims(TrialClaims),
+    /// From a gateway to an engine agent.
+    #[prost(message, tag = "10")]
+    AdmissionRequest(AdmissionRequest),
+    /// From an engine agent to a gateway.
+    #[prost(message, tag = "11")]
+    AdmissionAnswer(AdmissionAnswer),
 }
 
 /// Announces a gateway to an engine agent, with the changes that it requests there.
@@ -172,6 +178,9 @@
     /// Models that requests of any gateway use.
     #[prost(string, repeated, tag = "18")]
     pub in_use: Vec<String>,
+    /// The agent admits prompts: gateways ask it before they send one.
+    #[prost(bool, tag = "19")]
+    pub admits: bool,
 }
 
 /// Load of an engine, sent instead of [`EngineStatus`] while the loaded models stay
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -81,8 +81,11 @@
         let without_first_token =
             wire.runs.iter().filter(|(_, _, events, _)| *events == 0).count() as u32;
         let running = wire.runs.iter();
-        let running = running
-            .map(|(id, tokens, ..)| RunningRequest { id: id.as_str().into(), tokens: *tokens });
+        let running = running.map(|(id, tokens, events, _)| RunningRequest {
+            id: id.as_str().into(),
+            tokens: *tokens,
+            events: *events,
+        });
         let incoming_adapters = wire.coming.iter().filter_map(|entry| {
             let (model, adapter) = entry.split_once('/')?;
             let name = adapter.split_once('@').map_or(adapter, |(name, _)| name);
--- a/src/settings/engine_agent.rs
+++ b/src/settings/engine_agent.rs
@@ -22,6 +22,8 @@
     pub admin_listen: SocketAddr,
     /// Address of the store.
     pub store: SocketAddr,
+    /// Gateways ask the agent before they send prompts to the engine.
+    pub admits: bool,
     /// Log levels, global and per module.
     pub levels: LogLevels,
 }
@@ -38,6 +40,7 @@
         let engine = r.address("engine_agent", "engine");
         let peer = r.address("engine_agent", "peer_listen");
         let admin = r.address("engine_agent", "admin_listen");
+        let admits = r.flag("engine_agent", "admits");
         let store = r.address("store", "address");
         let levels = r.parsed("logs", "levels");
         r.require_distinct("engine_agent", &[("engine", engine), ("admin_listen", admin)]);
@@ -50,6 +53,7 @@
                 peer_listen: peer?,
                 admin_listen: admin?,
                 store: store?,
+                admits,
                 levels,
             })
         };
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -59,6 +59,8 @@
 pub const GATEWAYS: &str = "goldcrestpitch_gateways";
 /// Orders sent to the engine, by answer.
 pub const ORDERS: &str = "goldcrestpitch_orders_total";
+/// Decisions of an agent on the admission of prompts, by answer.
+pub const ADMISSIONS: &str = "goldcrestpitch_admissions_total";
 /// Log lines dropped because the reader of the log was too slow.
 pub const LOG_LINES_LEFT_OUT: &str = "goldcrestpitch_log_lines_left_out_total";
 /// Streams that the end of a gateway's process cut off.
--- a/tests/engine_agent.rs
+++ b/tests/engine_agent.rs
@@ -128,6 +128,7 @@
             service: "llm".into(),
             engine: engine_address,
             store,
+            admits: false,
         };
         let agent = engine_agent::start(config.clone(), socket);
         Self {
