--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! embedded on its own.
 
 pub mod accounts;
+pub mod admission;
 pub mod attempt;
 pub mod config;
 pub mod forwarding;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! according to the operator's routes.
 
 mod accounts;
+mod admission;
 mod attempt;
 mod bootstrap;
 mod crash_check;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -25,7 +25,7 @@
         placement::PlannerTenure,
     },
     gateway::{
-        bootstrap,
+        admission, bootstrap,
         crash_reports::{self, CrashReporter},
         limits,
         planner::{self, AgentInfo, Planner},
@@ -113,6 +113,7 @@
             }
             () = shared.peer_update_due.notified() =>
                 peers.send_to_gateways(&shared, &socket, true),
+            () = shared.admission_due.notified() => admission::send_due(&shared, &socket, own),
             () = shared.limits_changed.notified() => peers.send_limits(&shared, &socket),
             () = shared.quota_report_due.notified() =>
                 quotas::send(&shared, &socket, peers.gateways.keys().copied()),
@@ -205,7 +206,8 @@
                     self.update_position(&mut shared.lock(), now, own);
                 }
             }
-            Body::Hello(_) => {}
+            Body::AdmissionAnswer(answer) => admission::receive(shared, &answer),
+            Body::Hello(_) | Body::AdmissionRequest(_) => {}
         }
     }
 
@@ -241,6 +243,7 @@
         state.registry.set_agent_residency(&id, Some(status.residency()));
         let loading = Some(status.loading.as_str()).filter(|model| !model.is_empty());
         state.dispatcher.record_loading(now, &id, loading.map(Into::into));
+        state.dispatcher.set_admits(&id, status.admits);
         record_load(&mut state, now, &id, &EngineLoad::from(status));
         if status.draining {
             state.registry.mark_draining(&id);
@@ -287,6 +290,7 @@
             self.agents.remove(&id);
             state.dispatcher.record_loading(now, &id, None);
             state.registry.set_agent_residency(&id, None);
+            state.dispatcher.set_admits(&id, false);
         }
         let live = self.live_gateways(now).count();
         state.retry_share.update(now);
