--- a/src/gateway/quotas.rs
+++ b/src/gateway/quotas.rs
@@ -11,7 +11,10 @@
 use tokio::time;
 
 use crate::{
-    core::{ids::AccountName, limits::{QuotaLimit, QuotaReport, QuotaWindow, SharedQuotas}},
+    core::{
+        ids::AccountName,
+        limits::{QuotaLimit, QuotaReport, QuotaWindow, SharedQuotas},
+    },
     gateway::{
         limits,
         shared::{SharedState, State},
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -449,7 +449,11 @@
 
     /// Queues a request again whose endpoint has no room for this long, and waits until another
     /// is chosen or it is refused.
-    pub(super) async fn choose_again(&self, guard: &RequestGuard, full: Duration) -> EndpointChoice {
+    pub(super) async fn choose_again(
+        &self,
+        guard: &RequestGuard,
+        full: Duration,
+    ) -> EndpointChoice {
         let (tx, rx) = oneshot::channel();
         {
             let now = Instant::now();
