--- a/src/core/limits/mod.rs
+++ b/src/core/limits/mod.rs
@@ -4,6 +4,7 @@
 mod fair_queue;
 mod limited_endpoint;
 mod loop_lag;
+mod process_limits;
 mod tenant_limits;
 mod token_bucket;
 
@@ -11,5 +12,6 @@
 pub use fair_queue::{FairQueue, Flow, Popped};
 pub use limited_endpoint::ProcessLoad;
 pub use loop_lag::LoopLag;
+pub use process_limits::ProcessLimits;
 pub use tenant_limits::{Limits, TenantLimits};
 pub use token_bucket::TokenBucket;
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
+    core::limits::ProcessLimits,
     gateway::Bounds,
     settings::{SettingsError, SettingsReader},
     telemetry::LogLevels,
@@ -41,6 +42,8 @@
     pub store: SocketAddr,
     /// Retry and shutdown limits that apply to all gateways together.
     pub bounds: Bounds,
+    /// Memory and descriptors of the process.
+    pub limits: ProcessLimits,
     /// Log levels, global and per module.
     pub levels: LogLevels,
 }
@@ -73,6 +76,7 @@
             retry_slack: r.number("bounds", "retry_slack", 0.0, MAX_RETRY_SLACK),
             grace: r.seconds("bounds", "grace_s", DEFAULT_GRACE, MAX_GRACE),
         };
+        let limits = r.process_limits();
         let levels = r.parsed("logs", "levels");
         let listeners = [
             ("listen", listen),
@@ -105,6 +109,7 @@
                 first_start,
                 store: store?,
                 bounds,
+                limits,
                 levels,
             })
         };
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 mod engine_agent;
 mod entry;
 mod gateway;
+mod process_limits;
 mod reader;
 
 pub use agent::AgentSettings;
