Bound the bytes and connections that a process holds for others

Cause: bodies, responses and connections had no bound on their sum, so clients that stop short of the end of what they send could end a gateway. Change: one byte budget (core::limits::ByteBudget, http::MemoryBudget) charged as bytes arrive, at the capacity of the buffer and with an overhead for each request; incomplete bodies give way in a stated order with 503 (2007 MemoryShort); a bound on connections at each address of a gateway; timeouts of unread responses and late heads; bounds on discarded bodies and on HTTP/2 streams. Sized from [limits] memory_mb and max_descriptors.

--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     fleet::ConfigStore,
-    http::{self, Reply, StopSignal, stop_channel},
+    http::{self, Reply, ServerLimits, StopSignal, stop_channel},
     telemetry::{Metrics, names},
 };
 
@@ -32,16 +32,17 @@
     metrics: Option<Metrics>,
     store: Arc<ConfigStore>,
 ) -> AdminServer {
-    start_with_readiness(listener, metrics, move || {
+    start_with_readiness(listener, metrics, ServerLimits::default(), move || {
         gauge!(names::REVISION).set(store.revision() as f64);
         store.is_ready(Instant::now())
     })
 }
 
-/// Like [`start`], with the readiness check of the process.
+/// Like [`start`], with the limits of the listener and the readiness check of the process.
 pub fn start_with_readiness<R>(
     listener: TcpListener,
     metrics: Option<Metrics>,
+    limits: ServerLimits,
     is_ready: R,
 ) -> AdminServer
 where
@@ -52,7 +53,7 @@
         let reply = handle_request(req.uri().path(), metrics.as_ref(), is_ready());
         async move { Ok(reply) }
     };
-    tokio::spawn(http::serve(listener, handler, stopped));
+    tokio::spawn(http::serve_with_limits(listener, handler, stopped, limits));
     AdminServer { stop }
 }
 
--- a/src/cli/platform.rs
+++ b/src/cli/platform.rs
@@ -19,6 +19,7 @@
     engine_agent::{self, EngineAgentConfig},
     gateway::{self, GatewayConfig, Listeners},
     gossip::Socket,
+    http::ServerLimits,
     settings::{EngineAgentSettings, GatewaySettings, SettingsError, SettingsReader},
     telemetry::{self, LogLevels, Metrics},
 };
@@ -73,10 +74,13 @@
         seeds: settings.seeds.iter().map(|s| s.ip()).collect(),
         first_start: settings.first_start,
         bounds: settings.bounds,
+        limits: settings.limits,
     };
+    let admin_limits = ServerLimits::for_other_address(&settings.limits);
     let gateway = gateway::start(config, listeners);
     let shared = gateway.shared().clone();
-    let admin = admin::start_with_readiness(admin, metrics, move || shared.is_ready());
+    let admin =
+        admin::start_with_readiness(admin, metrics, admin_limits, move || shared.is_ready());
     tokio::select! {
         stopped = stop_signal() => stopped?,
         failed = watch_settings(file, settings, GatewaySettings::read, |s| &s.levels) => failed?,
@@ -101,7 +105,7 @@
         store: settings.store,
     };
     let agent = engine_agent::start(config, socket);
-    let admin = admin::start_with_readiness(admin, metrics, || true);
+    let admin = admin::start_with_readiness(admin, metrics, ServerLimits::default(), || true);
     tokio::select! {
         stopped = stop_signal() => stopped?,
         failed = watch_settings(file, settings, EngineAgentSettings::read, |s| &s.levels)
--- a/src/core/limits/mod.rs
+++ b/src/core/limits/mod.rs
@@ -1,5 +1,7 @@
 //! Rate and concurrency limits, retry budgets and the fair queue of an endpoint.
 
+mod byte_budget;
+mod connection_choice;
 mod endpoint_limits;
 mod fair_queue;
 mod limited_endpoint;
@@ -8,6 +10,8 @@
 mod tenant_limits;
 mod token_bucket;
 
+pub use byte_budget::{BudgetShort, ByteBudget, HolderId, HolderKind};
+pub use connection_choice::{ConnectionActivity, connection_to_close};
 pub use endpoint_limits::{EndpointLimits, LimitChange, LimitReport, NamedLimit, ProcessId};
 pub use fair_queue::{FairQueue, Flow, Popped};
 pub use limited_endpoint::ProcessLoad;
--- a/src/errors/code.rs
+++ b/src/errors/code.rs
@@ -84,6 +84,7 @@
     QueueFull = 2003, 503, NotRun, "The endpoint's queue is full.";
     DeadlineTooShort = 2004, 503, NotRun, "The request could not start before its deadline.";
     Quarantined = 2005, 422, NotRun, "The request is quarantined because endpoints crashed while they ran it.";
+    MemoryShort = 2007, 503, NotRun, "The process holds as many bytes for others as its memory allows.";
     NoEndpoint = 3001, 503, NotRun, "No endpoint for the target answered or admitted the request.";
     Draining = 3002, 503, NotRun, "The process is shutting down gracefully.";
     NotResident = 3003, 503, NotRun, "The model is not loaded on the endpoint, and it does not fit or was not loaded in time.";
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -23,6 +23,7 @@
         shared::{EndpointChoice, RequestGuard},
         upstream::Connection,
     },
+    http::MemoryBudget,
     platform::{NotRunReason, ResponseHead},
 };
 
@@ -216,7 +217,8 @@
         loop {
             let attempt = self.start_attempt().await?;
             let streaming = matches!(self.route.kind, RouteKind::Streaming { .. });
-            let responding = confirmed(self.send(&attempt, last_event), streaming);
+            let memory = self.shared.memory.clone();
+            let responding = confirmed(self.send(&attempt, last_event), streaming, &memory);
             let left = self.limit.left(Instant::now());
             let wait = if self.can_run_again() { self.response_timeout() } else { left };
             let result = time::timeout(wait, responding).await;
@@ -365,6 +367,7 @@
 async fn confirmed(
     sending: impl Future<Output = Result<SentRequest, AttemptError>>,
     streaming: bool,
+    memory: &MemoryBudget,
 ) -> Result<ReceivedResponse, AttemptError> {
     let mut received = ReceivedResponse::from(sending.await?);
     if !received.parts.status.is_success() {
@@ -377,7 +380,7 @@
             Ok(false) => Err("the stream is empty".to_owned()),
             Err(err) => Err(err.to_string()),
         },
-        false => body.read_all(MAX_RESPONSE_BYTES).await,
+        false => body.read_all(MAX_RESPONSE_BYTES, memory).await,
     };
     result.map_err(AttemptError::MayHaveRun)?;
     Ok(received)
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -11,7 +11,7 @@
 use tokio::{net::TcpListener, task::JoinHandle, time};
 
 use crate::{
-    core::forwarding::RetryShare,
+    core::{forwarding::RetryShare, limits::ProcessLimits},
     fleet::follow_topic,
     gateway::{
         bootstrap,
@@ -23,7 +23,7 @@
         shared::{Bounds, SharedState, ShutdownPlan},
     },
     gossip::Socket,
-    http::{self, HeaderLimits, StopSignal, stop_channel},
+    http::{self, MemoryBudget, ServerLimits, StopSignal, stop_channel},
     platform::{READY_PATH, Store},
 };
 
@@ -62,6 +62,8 @@
     pub first_start: bool,
     /// Limits that the platform sets.
     pub bounds: Bounds,
+    /// Memory and descriptors of the process.
+    pub limits: ProcessLimits,
 }
 
 /// The listening sockets of a gateway.
@@ -96,7 +98,9 @@
     let ids = others.iter().map(|address| process_id(*address));
     let (window, first_start) = (config.bounds.retry_window, config.first_start);
     let share = RetryShare::new(Instant::now(), window, ids, first_start);
-    let shared = SharedState::new(locality, config.bounds, share, fastrand::u64(..));
+    let memory = MemoryBudget::new(&config.limits);
+    let seed = fastrand::u64(..);
+    let shared = SharedState::new(locality, config.bounds, share, seed, memory.clone());
     let store = Store::new(config.store);
     tokio::spawn(follow_topic(store.clone(), RouteUpdater { shared: shared.clone() }));
     tokio::spawn(follow_topic(store.clone(), EndpointUpdater::new(shared.clone())));
@@ -108,7 +112,13 @@
     tokio::spawn(expire_connections(shared.clone()));
     tokio::spawn(loop_probe::run(shared.clone()));
     let (stop, stopped) = stop_channel();
-    let limits = HeaderLimits { read_timeout: IDLE_TIMEOUT, max_header_bytes: MAX_HEADER_BYTES };
+    let limits = ServerLimits {
+        read_timeout: IDLE_TIMEOUT,
+        max_header_bytes: MAX_HEADER_BYTES,
+        max_connections: config.limits.caller_connections(),
+        memory: Some(memory),
+    };
+    let other = ServerLimits::for_other_address(&config.limits);
     let handler = {
         let shared = shared.clone();
         move |req: Request<http::RequestBody>| forward::handle(shared.clone(), req)
@@ -119,8 +129,14 @@
         let shared = shared.clone();
         move |req: Request<http::RequestBody>| bootstrap::handle(shared.clone(), req)
     };
-    tokio::spawn(http::serve(listeners.bootstrap, bootstrap, stopped.clone()));
-    tokio::spawn(http::serve(listeners.ready, ready_handler(shared.clone()), stopped));
+    tokio::spawn(http::serve_with_limits(
+        listeners.bootstrap,
+        bootstrap,
+        stopped.clone(),
+        other.clone(),
+    ));
+    let ready = ready_handler(shared.clone());
+    tokio::spawn(http::serve_with_limits(listeners.ready, ready, stopped, other));
     Gateway { shared, stop, server }
 }
 
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -201,7 +201,12 @@
         guard.record_first_response();
         run.record_response();
         let answer_by = self.limit.answer_by();
-        match time::timeout_at(answer_by.into(), body.read_all(MAX_RESPONSE_BYTES)).await {
+        match time::timeout_at(
+            answer_by.into(),
+            body.read_all(MAX_RESPONSE_BYTES, &self.shared.memory),
+        )
+        .await
+        {
             Ok(Ok(())) => {}
             Ok(Err(err)) => {
                 let id = self.id();
--- a/src/gateway/response_body.rs
+++ b/src/gateway/response_body.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming};
+
+use crate::http::MemoryBudget;
 
 /// A frame of a body, or its end.
 pub(super) type FrameResult = Option<Result<Frame<Bytes>, hyper::Error>>;
@@ -44,16 +46,29 @@
     ///
     /// # Errors
     /// Why the body cannot be used.
-    pub(super) async fn read_all(&mut self, max_bytes: usize) -> Result<(), String> {
-        let mut buf = Vec::new();
+    pub(super) async fn read_all(
+        &mut self,
+        max_bytes: usize,
+        memory: &MemoryBudget,
+    ) -> Result<(), String> {
+        if self.read.is_some() && self.rest.is_end_stream() {
+            return Ok(());
+        }
+        let announced = self.rest.size_hint().upper().unwrap_or(u64::MAX);
+        let read = self.read.as_ref().map_or(0, Bytes::len) as u64;
+        let size = announced.saturating_add(read).min(max_bytes as u64) as usize;
+        let mut buf = memory.response(size);
+        let mut received = 0;
         while let Some(frame) = self.frame().await {
             let Ok(data) = frame.map_err(|err| err.to_string())?.into_data() else { continue };
-            if max_bytes < buf.len() + data.len() {
+            received += data.len();
+            if max_bytes < received {
                 return Err(format!("the body is larger than {max_bytes} bytes"));
             }
-            buf.extend_from_slice(&data);
+            let short = |_| "the process holds as many bytes as its memory allows".to_owned();
+            buf.push(&data).map_err(short)?;
         }
-        self.read = Some(buf.into());
+        self.read = Some(buf.finish());
         Ok(())
     }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -28,6 +28,7 @@
         run::{RunTarget, crash_id},
         upstream::ConnectionPool,
     },
+    http::MemoryBudget,
     platform::StoreEra,
     telemetry::names,
 };
@@ -120,6 +121,8 @@
     bounds: Bounds,
     state: Mutex<State>,
     pub(super) pool: ConnectionPool,
+    // Charged for what is held for callers.
+    pub(super) memory: MemoryBudget,
     // Wakes the dispatch loop when a request starts to wait.
     pub(super) request_queued: Notify,
     // Triggers a message to all peers before the next regular one is due.
@@ -147,6 +150,7 @@
         bounds: Bounds,
         retry_share: RetryShare,
         seed: u64,
+        memory: MemoryBudget,
     ) -> Arc<Self> {
         let state = State {
             table: None,
@@ -176,6 +180,7 @@
             bounds,
             state: Mutex::new(state),
             pool: ConnectionPool::default(),
+            memory,
             request_queued: Notify::new(),
             peer_update_due: Notify::new(),
             limits_changed: Notify::new(),
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -28,6 +28,9 @@
 /// `TCP_USER_TIMEOUT`: how long sent data may stay unacknowledged before the connection
 /// is closed. An endpoint that is silent for a while does not read either.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(4000);
+/// Largest read buffer of a connection. hyper's own limit of 400 KiB would let the responses of all
+/// endpoints together exceed the memory of a small VM.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
 /// How long an idle connection is kept when the endpoint sends no `Keep-Alive` header.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(700);
 /// How long before the endpoint's own timeout an idle connection is closed.
@@ -70,8 +73,11 @@
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             // A pending `send` reports the error.
             let _ = connection.await;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -2,15 +2,21 @@
 
 mod body;
 mod client;
+mod connections;
+mod memory;
+mod read_body;
 mod request_body;
 mod server;
 mod sse;
+mod tracked_body;
 
 pub use body::{BodySender, ReplyAborted, ReplyBody};
 pub use client::{Client, ClientError};
+pub use memory::{HeldBuffer, MemoryBudget};
+pub use read_body::read_body;
 pub use request_body::RequestBody;
 pub use server::{
-    ClientAddress, HeaderLimits, Reply, Stop, StopSignal, json, read_body, refusal, serve,
-    serve_with_limits, stop_channel, text,
+    ClientAddress, Reply, ServerLimits, Stop, StopSignal, json, refusal, serve, serve_with_limits,
+    stop_channel, text,
 };
 pub use sse::SseParser;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,18 +1,11 @@
 //! An HTTP/1.1 and HTTP/2 server with graceful shutdown.
 
 use std::{
-    convert::Infallible, fmt::Display, future::Future, io, net::SocketAddr, pin::pin, sync::Arc,
-    time::Duration,
+    convert::Infallible, future::Future, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
-use hyper::{
-    Request, Response, StatusCode,
-    body::{Body, Incoming},
-    header,
-    service::service_fn,
-};
+use bytes::Bytes;
+use hyper::{Request, Response, StatusCode, body::Incoming, header, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto::Builder,
@@ -25,8 +18,12 @@
 };
 
 use crate::{
-    errors::{Code, Refusal},
-    http::{ReplyAborted, ReplyBody, RequestBody},
+    core::limits::ProcessLimits,
+    errors::Refusal,
+    http::{
+        MemoryBudget, ReplyAborted, ReplyBody, RequestBody, connections::Connections,
+        tracked_body::TrackedBody,
+    },
 };
 
 /// A response of the server.
@@ -41,7 +38,17 @@
 
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_HEADER_BYTES: usize = 32 * 1024;
-const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
+/// Connections of a listener whose process has no settings for it.
+const DEFAULT_MAX_CONNECTIONS: usize = 16_384;
+/// HTTP/2: requests at the same time on one connection.
+const MAX_STREAMS: u32 = 100;
+/// HTTP/2: received bytes that no handler has read yet, of a connection and of a stream.
+const CONNECTION_WINDOW_BYTES: u32 = 256 * 1024;
+const STREAM_WINDOW_BYTES: u32 = 64 * 1024;
+/// HTTP/2: bytes of responses that the client has not read, of a stream.
+const MAX_SEND_BYTES: usize = 64 * 1024;
+/// HTTP/2: streams that were reset and are still known.
+const MAX_RESET_STREAMS: usize = 20;
 // Keeps the accept loop from spinning while the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 // How long a connection without a request stays open after the stop: callers give up a request that
@@ -62,30 +69,46 @@
     H: Fn(Request<RequestBody>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Reply, ReplyAborted>> + Send + 'static,
 {
-    serve_with_limits(listener, handler, stop, HeaderLimits::default()).await;
+    serve_with_limits(listener, handler, stop, ServerLimits::default()).await;
 }
 
-/// Limits of the request line and headers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct HeaderLimits {
+/// Limits of the connections of a listener.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
     /// Longest time until the headers of the next request are complete (HTTP/1 only).
     pub read_timeout: Duration,
     /// Largest size of the headers in bytes.
     pub max_header_bytes: usize,
+    /// Most connections at the same time.
+    pub max_connections: usize,
+    /// The budget that request bodies are charged to.
+    pub memory: Option<MemoryBudget>,
 }
 
-impl Default for HeaderLimits {
+impl Default for ServerLimits {
     fn default() -> Self {
-        Self { read_timeout: HEADER_TIMEOUT, max_header_bytes: MAX_HEADER_BYTES }
+        Self {
+            read_timeout: HEADER_TIMEOUT,
+            max_header_bytes: MAX_HEADER_BYTES,
+            max_connections: DEFAULT_MAX_CONNECTIONS,
+            memory: None,
+        }
+    }
+}
+
+impl ServerLimits {
+    /// Limits of an address that is not for callers.
+    pub fn for_other_address(limits: &ProcessLimits) -> Self {
+        Self { max_connections: limits.other_connections(), ..Self::default() }
     }
 }
 
-/// Like [`serve`], with other header limits.
+/// Like [`serve`], with other limits.
 pub async fn serve_with_limits<H, F>(
     listener: TcpListener,
     handler: H,
     mut stop: Stop,
-    limits: HeaderLimits,
+    limits: ServerLimits,
 ) where
     H: Fn(Request<RequestBody>) -> F + Clone + Send + 'static,
     F: Future<Output = Result<Reply, ReplyAborted>> + Send + 'static,
@@ -94,21 +117,42 @@
     let mut http1 = builder.http1();
     http1.timer(TokioTimer::new()).header_read_timeout(limits.read_timeout);
     http1.max_buf_size(limits.max_header_bytes);
-    builder.http2().timer(TokioTimer::new()).max_header_list_size(limits.max_header_bytes as u32);
+    let mut http2 = builder.http2();
+    http2.timer(TokioTimer::new()).max_header_list_size(limits.max_header_bytes as u32);
+    http2.max_concurrent_streams(MAX_STREAMS).max_send_buf_size(MAX_SEND_BYTES);
+    http2.initial_connection_window_size(CONNECTION_WINDOW_BYTES);
+    http2.initial_stream_window_size(STREAM_WINDOW_BYTES);
+    http2.max_pending_accept_reset_streams(MAX_RESET_STREAMS);
+    http2.max_local_error_reset_streams(MAX_RESET_STREAMS);
+    let connections = Connections::new(limits.max_connections);
+    let memory = limits.memory;
+    let sweep = tokio::spawn(connections.clone().sweep(memory.clone()));
     // Each open connection holds a sender.
     let (open, mut closed) = mpsc::channel::<Infallible>(1);
     let stopped = stop.clone();
     let open_connection = move |socket: TcpStream, client: SocketAddr| {
         // Otherwise small chunks such as single tokens may be held back for a full segment.
         let _: io::Result<()> = socket.set_nodelay(true);
+        // The socket is dropped, and so closed, when there are too many connections.
+        let Some((socket, registered)) = connections.open(socket) else { return };
+        let state = registered.state.clone();
         let requested = Arc::new(Notify::new());
         let service = {
             let (handler, requested) = (handler.clone(), requested.clone());
+            let (state, memory) = (state.clone(), memory.clone());
             service_fn(move |req: Request<Incoming>| {
                 requested.notify_one();
-                let mut req = req.map(RequestBody::from);
+                let running = state.begin_request();
+                let mut req = req.map(|body| {
+                    RequestBody::from(body).with_limits(memory.clone(), || state.begin_body())
+                });
                 req.extensions_mut().insert(ClientAddress(client));
-                handler(req)
+                let reply = handler(req);
+                async move {
+                    Ok::<_, ReplyAborted>(
+                        reply.await?.map(|body| TrackedBody { body, _running: running }),
+                    )
+                }
             })
         };
         let connection = builder.serve_connection(TokioIo::new(socket), service).into_owned();
@@ -119,11 +163,15 @@
             tokio::select! {
                 biased;
                 _ = connection.as_mut() => return,
+                () = registered.state.closed() => return,
                 () = until_closable(stopped, &requested) => {}
             }
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
-            drop(open);
+            tokio::select! {
+                _ = connection => {}
+                () = registered.state.closed() => {}
+            }
+            drop((open, registered));
         });
     };
     loop {
@@ -148,6 +196,7 @@
     drop(open_connection);
     // Ends when all connections are closed.
     let _ = closed.recv().await;
+    sweep.abort();
 }
 
 /// Waits until the stop, and then until a connection has had its first request. Closing it earlier
@@ -159,49 +208,6 @@
     let _ = time::timeout(FIRST_REQUEST_TIMEOUT, requested.notified()).await;
 }
 
-/// Reads a request body of at most `max_bytes` within `timeout`.
-///
-/// The rest of a body that is too large is read and discarded, up to a limit: closing a
-/// connection with unread data can lose the response that is being sent.
-///
-/// # Errors
-/// [`Code::BodyTooLarge`], [`Code::SlowSender`] or [`Code::MalformedBody`].
-pub async fn read_body<B>(body: B, max_bytes: usize, timeout: Duration) -> Result<Bytes, Refusal>
-where
-    B: Body<Data = Bytes> + Unpin,
-    B::Error: Display,
-{
-    let result = time::timeout(timeout, read_limited(body, max_bytes)).await;
-    result.unwrap_or_else(|_| {
-        let text = format!("the body did not arrive within {} ms", timeout.as_millis());
-        Err(Refusal::new(Code::SlowSender, text))
-    })
-}
-
-async fn read_limited<B>(mut body: B, max_bytes: usize) -> Result<Bytes, Refusal>
-where
-    B: Body<Data = Bytes> + Unpin,
-    B::Error: Display,
-{
-    let mut buf = BytesMut::new();
-    let mut size = 0;
-    while let Some(frame) = body.frame().await {
-        let malformed =
-            |err| Refusal::new(Code::MalformedBody, format!("the body could not be read: {err}"));
-        let Ok(data) = frame.map_err(malformed)?.into_data() else { continue };
-        size += data.len();
-        if size <= max_bytes {
-            buf.extend_from_slice(&data);
-        } else if max_bytes + MAX_DISCARDED_BYTES < size {
-            break;
-        }
-    }
-    if size <= max_bytes {
-        return Ok(buf.freeze());
-    }
-    Err(Refusal::new(Code::BodyTooLarge, format!("the body is larger than {max_bytes} bytes")))
-}
-
 /// Creates a JSON response.
 pub fn json(status: StatusCode, document: &impl Serialize) -> Reply {
     let body = serde_json::to_vec(document).unwrap_or_default();
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -66,3 +66,7 @@
 /// Crashes of endpoints that a gateway counted against a request or a segment of a prompt,
 /// one for each log line of a suspect.
 pub const SUSPECTED_CRASHES: &str = "goldcrestpitch_suspected_crashes_total";
+/// Bytes held for others, by kind.
+pub const HELD_BYTES: &str = "goldcrestpitch_held_bytes";
+/// Bodies, responses and connections that the limits of the process refused or closed, by cause.
+pub const LIMIT_REFUSALS: &str = "goldcrestpitch_limit_refusals_total";
--- a/tests/gateway/test_gateway.rs
+++ b/tests/gateway/test_gateway.rs
@@ -7,6 +7,7 @@
 };
 
 use goldcrestpitch::{
+    core::limits::ProcessLimits,
     fakes::{FakeLog, LogFaults},
     gateway::{self, Bounds, Gateway, GatewayConfig, Listeners},
     gossip::Socket,
@@ -125,6 +126,7 @@
                 retry_slack: 4.0,
                 grace: Duration::from_secs(4),
             },
+            limits: ProcessLimits::default(),
         };
         let listeners = Listeners { callers: clients, ready, peers, peer_address, bootstrap };
         let process = gateway::start(config, listeners);
