--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -126,6 +126,8 @@
         ("{{TimingBounds.BudgetWindowS}}", "10"),
         ("{{TimingBounds.BudgetSlack}}", "58"),
         ("{{TimingBounds.GraceS}}", "8"),
+        ("{{Limits.MemoryMb}}", "112"),
+        ("{{Limits.MaxFds}}", "2870"),
         ("{{Service}}", "llm"),
         ("{{app}}", "10.1.0.40:8145"),
     ];
@@ -133,6 +135,8 @@
     let settings = GatewaySettings::read(SettingsReader::from_text("g", &gateway)).unwrap();
     assert_eq!((settings.seeds.len(), settings.zones.len()), (2, 2));
     assert_eq!(settings.bounds.retry_slack, 58.0);
+    assert_eq!(settings.limits.memory_bytes, 112 << 20);
+    assert_eq!(settings.limits.descriptors, 2870);
     assert!(settings.first_start);
     let agent = fill_template("deploy/engine-agent.ini", &values);
     assert!(EngineAgentSettings::read(SettingsReader::from_text("a", &agent)).is_ok());
