Received bytes of HTTP/2 and of refused bodies are not request heads

Cause: the timeout of late heads (10 s) would have closed an idle HTTP/2 connection, and an idle HTTP/1 connection after a refused body, within the 12 s for which callers reuse it. Change: ConnectionActivity::record_read; 64 connections at an engine agent's admin address.

--- a/src/cli/platform.rs
+++ b/src/cli/platform.rs
@@ -16,6 +16,7 @@
         daemons::{bind, exit_code, stop_signal},
         settings,
     },
+    core::limits::ProcessLimits,
     engine_agent::{self, EngineAgentConfig},
     gateway::{self, GatewayConfig, Listeners},
     gossip::Socket,
@@ -26,6 +27,8 @@
 
 /// Environment variable with the path of the settings file, used if there is no argument.
 const SETTINGS_ENV_VAR: &str = "GOLDCRESTPITCH_SETTINGS";
+/// Descriptors that an agent counts on, of at least 2,870: 64 connections for probes and metrics.
+const AGENT_DESCRIPTORS: usize = 1024;
 /// Interval at which the settings file is checked for changes without a signal.
 const RELOAD_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -104,8 +107,10 @@
         engine: settings.engine,
         store: settings.store,
     };
+    let limits = ProcessLimits { descriptors: AGENT_DESCRIPTORS, ..ProcessLimits::default() };
+    let admin_limits = ServerLimits::for_other_address(&limits);
     let agent = engine_agent::start(config, socket);
-    let admin = admin::start_with_readiness(admin, metrics, ServerLimits::default(), || true);
+    let admin = admin::start_with_readiness(admin, metrics, admin_limits, || true);
     tokio::select! {
         stopped = stop_signal() => stopped?,
         failed = watch_settings(file, settings, EngineAgentSettings::read, |s| &s.levels)
--- a/src/core/limits/connection_choice.rs
+++ b/src/core/limits/connection_choice.rs
@@ -24,6 +24,8 @@
     pub incomplete_bodies: u32,
     /// Received bytes of a request head that is not complete.
     pub head_bytes: usize,
+    /// HTTP/2, where received bytes don't show whether a head is complete.
+    pub is_http2: bool,
 }
 
 impl ConnectionActivity {
@@ -37,9 +39,34 @@
             running: 0,
             incomplete_bodies: 0,
             head_bytes: 0,
+            is_http2: false,
         }
     }
 
+    /// Records received bytes. They belong to a head unless a request runs or the rest of a refused
+    /// body is discarded.
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use goldcrestpitch::core::limits::ConnectionActivity;
+    /// let now = Instant::now();
+    /// let refused = ConnectionActivity { incomplete_bodies: 1, ..ConnectionActivity::new(now) };
+    /// let mut connection = refused;
+    /// connection.record_read(now, 1000);
+    /// assert_eq!(connection.head_bytes, 0);
+    /// connection.incomplete_bodies = 0;
+    /// connection.record_read(now, 1000);
+    /// assert_eq!(connection.head_bytes, 1000);
+    /// ```
+    pub fn record_read(&mut self, now: Instant, bytes: usize) {
+        let is_head = self.running == 0 && self.incomplete_bodies == 0 && !self.is_http2;
+        // The timeout of a head counts from its first bytes.
+        if !is_head || self.head_bytes == 0 {
+            self.read_at = now;
+        }
+        self.head_bytes = if is_head { self.head_bytes + bytes } else { 0 };
+    }
+
     /// Whether the client has not read for so long.
     pub fn is_write_stalled(&self, now: Instant, after: Duration) -> bool {
         self.write_stalled_at.is_some_and(|at| at + after <= now)
--- a/src/http/connections.rs
+++ b/src/http/connections.rs
@@ -61,11 +61,12 @@
     }
 
     /// Notes that a request head is complete.
-    pub(super) fn begin_request(self: &Arc<Self>) -> Running {
+    pub(super) fn begin_request(self: &Arc<Self>, is_http2: bool) -> Running {
         let mut activity = self.lock();
         activity.requests += 1;
         activity.running += 1;
         activity.head_bytes = 0;
+        activity.is_http2 = is_http2;
         Running(self.clone())
     }
 
@@ -192,13 +193,7 @@
         let read = part.filled().len();
         buf.advance(read);
         if 0 < read {
-            let mut activity = self.state.lock();
-            // The timeout of a head counts from its first bytes.
-            if activity.running != 0 || activity.head_bytes == 0 {
-                activity.read_at = Instant::now();
-            }
-            activity.head_bytes =
-                if activity.running == 0 { activity.head_bytes + read } else { 0 };
+            self.state.lock().record_read(Instant::now(), read);
         }
         result
     }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -5,7 +5,7 @@
 };
 
 use bytes::Bytes;
-use hyper::{Request, Response, StatusCode, body::Incoming, header, service::service_fn};
+use hyper::{Request, Response, StatusCode, Version, body::Incoming, header, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto::Builder,
@@ -142,7 +142,7 @@
             let (state, memory) = (state.clone(), memory.clone());
             service_fn(move |req: Request<Incoming>| {
                 requested.notify_one();
-                let running = state.begin_request();
+                let running = state.begin_request(req.version() == Version::HTTP_2);
                 let mut req = req.map(|body| {
                     RequestBody::from(body).with_limits(memory.clone(), || state.begin_body())
                 });
