Tests of clients that nobody controls pass; off KNOWN-RED.txt

Cause: the ten tests were red until bodies, responses and connections had a bound. Change: they run again; crowd and bounds are unchanged (48 MB, 256 descriptors).

--- a/tests/uncontrolled_clients/bodies.rs
+++ b/tests/uncontrolled_clients/bodies.rs
@@ -31,7 +31,6 @@
 
 /// Guards against a process that holds the sum of all bodies that stop a byte short.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn large_bodies_that_stop_short_of_their_end() {
     let piece = vec![b'x'; MAX_BODY_BYTES - 1];
     let script = Script { head: announced(MAX_BODY_BYTES), piece, repeat: 1 };
@@ -40,7 +39,6 @@
 
 /// Guards against the same when all bodies grow together.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn large_bodies_that_arrive_piece_by_piece_and_stop_short() {
     let (piece, repeat) = (vec![b'x'; 4096], MAX_BODY_BYTES / 4096 - 1);
     run(assert_survives_bodies(CLIENTS, Script { head: announced(MAX_BODY_BYTES), piece, repeat }));
@@ -48,7 +46,6 @@
 
 /// Guards against the same for bodies of unknown length, in large chunks.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn chunked_bodies_in_large_chunks_that_never_end() {
     let (piece, repeat) = (chunk(CHUNK_BYTES), MAX_BODY_BYTES / CHUNK_BYTES);
     run(assert_survives_bodies(CLIENTS, Script { head: chunked(), piece, repeat }));
@@ -64,7 +61,6 @@
 
 /// Guards against connections that are kept for the rest of a body that is refused anyway.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn announced_bodies_far_over_the_limit() {
     let script = Script { head: announced(1 << 30), piece: vec![b'x'; 64 * 1024], repeat: 32 };
     run(assert_survives_bodies(400, script));
@@ -72,7 +68,6 @@
 
 /// Guards against the part of a refused body that was read before it exceeded the limit.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn bodies_far_over_the_limit_that_are_not_announced() {
     let script = Script { head: chunked(), piece: chunk(CHUNK_BYTES), repeat: 160 };
     run(assert_survives_bodies(CLIENTS, script));
--- a/tests/uncontrolled_clients/connections.rs
+++ b/tests/uncontrolled_clients/connections.rs
@@ -28,7 +28,6 @@
 
 /// Guards against connections and their buffers without a bound.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn heads_that_never_end() {
     run(async {
         let mut process = GatewayProcess::start().await;
@@ -39,7 +38,6 @@
 
 /// Guards against whole responses that are held for clients that never read them.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn responses_that_are_never_read() {
     run(async {
         let mut process = GatewayProcess::start().await;
@@ -53,7 +51,6 @@
 
 /// Guards against connections without a bound at the address of readiness probes.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn heads_that_never_end_at_the_address_of_readiness_probes() {
     run(async {
         let mut process = GatewayProcess::start().await;
@@ -64,7 +61,6 @@
 
 /// Guards against connections without a bound at the address of the metrics.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn heads_that_never_end_at_the_address_of_metrics() {
     run(async {
         let mut process = GatewayProcess::start().await;
@@ -75,7 +71,6 @@
 
 /// Guards against connections without a bound at the address for other gateways.
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn heads_that_never_end_at_the_address_for_other_gateways() {
     run(async {
         let mut process = GatewayProcess::start().await;
