--- a/src/cli/platform.rs
+++ b/src/cli/platform.rs
@@ -16,15 +16,19 @@
         daemons::{bind, exit_code, stop_signal},
         settings,
     },
+    core::limits::ProcessLimits,
     engine_agent::{self, EngineAgentConfig},
     gateway::{self, GatewayConfig, Listeners},
     gossip::Socket,
+    http::ServerLimits,
     settings::{EngineAgentSettings, GatewaySettings, SettingsError, SettingsReader},
     telemetry::{self, LogLevels, Metrics},
 };
 
 /// Environment variable with the path of the settings file, used if there is no argument.
 const SETTINGS_ENV_VAR: &str = "GOLDCRESTPITCH_SETTINGS";
+/// Descriptors that an agent counts on, of at least 2,870: 64 connections for probes and metrics.
+const AGENT_DESCRIPTORS: usize = 1024;
 /// Interval at which the settings file is checked for changes without a signal.
 const RELOAD_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -74,10 +78,13 @@
         first_start: settings.first_start,
         bounds: settings.bounds,
         accounts: settings.accounts,
+        limits: settings.limits,
     };
+    let admin_limits = ServerLimits::for_other_address(&settings.limits);
     let gateway = gateway::start(config, listeners);
     let shared = gateway.shared().clone();
-    let admin = admin::start_with_readiness(admin, metrics, move || shared.is_ready());
+    let admin =
+        admin::start_with_readiness(admin, metrics, admin_limits, move || shared.is_ready());
     tokio::select! {
         stopped = stop_signal() => stopped?,
         failed = watch_settings(file, settings, GatewaySettings::read, |s| &s.levels) => failed?,
@@ -102,8 +109,10 @@
         engine: settings.engine,
         store: settings.store,
     };
+    let limits = ProcessLimits { descriptors: AGENT_DESCRIPTORS, ..ProcessLimits::default() };
+    let admin_limits = ServerLimits::for_other_address(&limits);
     let agent = engine_agent::start(config, socket);
-    let admin = admin::start_with_readiness(admin, metrics, || true);
+    let admin = admin::start_with_readiness(admin, metrics, admin_limits, || true);
     tokio::select! {
         stopped = stop_signal() => stopped?,
         failed = watch_settings(file, settings, EngineAgentSettings::read, |s| &s.levels)
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -11,7 +11,7 @@
 use tokio::{net::TcpListener, task::JoinHandle, time};
 
 use crate::{
-    core::forwarding::RetryShare,
+    core::{forwarding::RetryShare, limits::ProcessLimits},
     fleet::follow_topic,
     gateway::{
         accounts::AccountSettings,
@@ -25,7 +25,7 @@
         shared::{Bounds, SharedState, ShutdownPlan},
     },
     gossip::Socket,
-    http::{self, HeaderLimits, StopSignal, stop_channel},
+    http::{self, MemoryBudget, ServerLimits, StopSignal, stop_channel},
     platform::{READY_PATH, Store},
 };
 
@@ -66,6 +66,8 @@
     pub bounds: Bounds,
     /// Settings of the client accounts.
     pub accounts: AccountSettings,
+    /// Memory and descriptors of the process.
+    pub limits: ProcessLimits,
 }
 
 /// The listening sockets of a gateway.
@@ -100,8 +102,10 @@
     let ids = others.iter().map(|address| process_id(*address));
     let (window, first_start) = (config.bounds.retry_window, config.first_start);
     let share = RetryShare::new(Instant::now(), window, ids, first_start);
+    let memory = MemoryBudget::new(&config.limits);
+    let seed = fastrand::u64(..);
     let shared =
-        SharedState::new(locality, config.bounds, config.accounts, share, fastrand::u64(..));
+        SharedState::new(locality, config.bounds, config.accounts, share, seed, memory.clone());
     shared.lock().accounts.first_start = first_start;
     let store = Store::new(config.store);
     tokio::spawn(follow_topic(store.clone(), RouteUpdater { shared: shared.clone() }));
@@ -115,7 +119,13 @@
     tokio::spawn(loop_probe::run(shared.clone()));
     tokio::spawn(quotas::run(shared.clone()));
     let (stop, stopped) = stop_channel();
-    let limits = HeaderLimits { read_timeout: IDLE_TIMEOUT, max_header_bytes: MAX_HEADER_BYTES };
+    let limits = ServerLimits {
+        read_timeout: IDLE_TIMEOUT,
+        max_header_bytes: MAX_HEADER_BYTES,
+        max_connections: config.limits.caller_connections(),
+        memory: Some(memory),
+    };
+    let other = ServerLimits::for_other_address(&config.limits);
     let handler = {
         let shared = shared.clone();
         move |req: Request<http::RequestBody>| forward::handle(shared.clone(), req)
@@ -126,8 +136,14 @@
         let shared = shared.clone();
         move |req: Request<http::RequestBody>| bootstrap::handle(shared.clone(), req)
     };
-    tokio::spawn(http::serve(listeners.bootstrap, bootstrap, stopped.clone()));
-    tokio::spawn(http::serve(listeners.ready, ready_handler(shared.clone()), stopped));
+    tokio::spawn(http::serve_with_limits(
+        listeners.bootstrap,
+        bootstrap,
+        stopped.clone(),
+        other.clone(),
+    ));
+    let ready = ready_handler(shared.clone());
+    tokio::spawn(http::serve_with_limits(listeners.ready, ready, stopped, other));
     Gateway { shared, stop, server }
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -31,6 +31,7 @@
         upstream::ConnectionPool,
     },
     gossip::AdmissionRequest,
+    http::MemoryBudget,
     platform::StoreEra,
     telemetry::names,
 };
@@ -133,6 +134,8 @@
     account_settings: AccountSettings,
     state: Mutex<State>,
     pub(super) pool: ConnectionPool,
+    // Charged for what is held for callers.
+    pub(super) memory: MemoryBudget,
     // Wakes the dispatch loop when a request starts to wait.
     pub(super) request_queued: Notify,
     // Triggers a message to all peers before the next regular one is due.
@@ -165,6 +168,7 @@
         account_settings: AccountSettings,
         retry_share: RetryShare,
         seed: u64,
+        memory: MemoryBudget,
     ) -> Arc<Self> {
         let state = State {
             table: None,
@@ -200,6 +204,7 @@
             account_settings,
             state: Mutex::new(state),
             pool: ConnectionPool::default(),
+            memory,
             request_queued: Notify::new(),
             peer_update_due: Notify::new(),
             admission_due: Notify::new(),
--- a/src/settings/gateway.rs
+++ b/src/settings/gateway.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
+    core::limits::ProcessLimits,
     gateway::{AccountSettings, Bounds},
     settings::{SettingsError, SettingsReader},
     telemetry::LogLevels,
@@ -47,6 +48,8 @@
     pub bounds: Bounds,
     /// Client accounts.
     pub accounts: AccountSettings,
+    /// Memory and descriptors of the process.
+    pub limits: ProcessLimits,
     /// Log levels, global and per module.
     pub levels: LogLevels,
 }
@@ -80,6 +83,7 @@
             grace: r.seconds("bounds", "grace_s", DEFAULT_GRACE, MAX_GRACE),
         };
         let accounts = read_accounts(r);
+        let limits = r.process_limits();
         let levels = r.parsed("logs", "levels");
         let listeners = [
             ("listen", listen),
@@ -113,6 +117,7 @@
                 store: store?,
                 bounds,
                 accounts,
+                limits,
                 levels,
             })
         };
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -81,3 +81,7 @@
 pub const QUOTA_LEVEL: &str = "goldcrestpitch_quota_level";
 /// What a gateway has charged to a client account since its start.
 pub const QUOTA_CHARGED: &str = "goldcrestpitch_quota_charged";
+/// Bytes held for others, by kind.
+pub const HELD_BYTES: &str = "goldcrestpitch_held_bytes";
+/// Bodies, responses and connections that the limits of the process refused or closed, by cause.
+pub const LIMIT_REFUSALS: &str = "goldcrestpitch_limit_refusals_total";
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -150,6 +150,8 @@
         ("{{TimingBounds.BudgetWindowS}}", "10"),
         ("{{TimingBounds.BudgetSlack}}", "58"),
         ("{{TimingBounds.GraceS}}", "8"),
+        ("{{Limits.MemoryMb}}", "112"),
+        ("{{Limits.MaxFds}}", "2870"),
         ("{{Service}}", "llm"),
         ("{{app}}", "10.1.0.40:8145"),
     ];
@@ -157,6 +159,8 @@
     let settings = GatewaySettings::read(SettingsReader::from_text("g", &gateway)).unwrap();
     assert_eq!((settings.seeds.len(), settings.zones.len()), (2, 2));
     assert_eq!(settings.bounds.retry_slack, 58.0);
+    assert_eq!(settings.limits.memory_bytes, 112 << 20);
+    assert_eq!(settings.limits.descriptors, 2870);
     assert!(settings.first_start);
     assert_eq!(settings.accounts, AccountSettings::default());
     // Deployments with client accounts have these values in addition.
--- a/tests/gateway/test_gateway.rs
+++ b/tests/gateway/test_gateway.rs
@@ -7,6 +7,7 @@
 };
 
 use goldcrestpitch::{
+    core::limits::ProcessLimits,
     fakes::{FakeLog, LogFaults},
     gateway::{self, AccountSettings, Bounds, Gateway, GatewayConfig, Listeners},
     gossip::Socket,
@@ -136,6 +137,7 @@
                 grace: Duration::from_secs(4),
             },
             accounts,
+            limits: ProcessLimits::default(),
         };
         let listeners = Listeners { callers: clients, ready, peers, peer_address, bootstrap };
         let process = gateway::start(config, listeners);
