Kept prompt segments: known from first events and gateways' reports

A gateway knew only its own sends, 512 segments an engine, without the engine's memory, restarts or unloads. KeptPrompts replaces Dispatcher::cached_segments; gateways tell each other in GatewayStatus (tag 9).

--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -14,12 +14,10 @@
 
 use crate::core::{
     forwarding::{
-        Endpoint, EndpointLoad, EndpointRegistry, EndpointRests, EndpointSubset, LoadReport,
-        MissingModels, ModelLoads, ModelRef, PrefillSpeeds, Requirements, Route, RouteKind,
-        ServiceName, WantedAdapter,
-        selection::{
-            BASE_FIRST_TOKEN_TIME, BASE_RESPONSE_TIME, Locality, PREFILL_TOKENS_PER_MS, segment_key,
-        },
+        Endpoint, EndpointLoad, EndpointRegistry, EndpointRests, EndpointSubset, KeptPrompts,
+        KeptSegment, LoadReport, MissingModels, ModelLoads, ModelRef, PrefillSpeeds, Requirements,
+        Route, RouteKind, ServiceName, WantedAdapter, chain,
+        selection::{BASE_FIRST_TOKEN_TIME, BASE_RESPONSE_TIME, Locality, PREFILL_TOKENS_PER_MS},
         wait_queue::WaitQueue,
     },
     ids::{EndpointId, ModelName, VersionId},
@@ -40,8 +38,6 @@
 /// How long an endpoint is excluded after another one answered at its address. Within
 /// this time a registration lapses or is renewed under another id.
 const EXCLUDE_REPLACED_FOR: Duration = Duration::from_millis(3000);
-/// Prompt segments remembered per endpoint.
-const MAX_CACHED_SEGMENTS: usize = 512;
 
 #[derive(Clone, Debug)]
 pub(super) struct QueuedRequest {
@@ -76,6 +72,7 @@
     expected: Duration,
     responded: bool,
     model_ref: Option<ModelRef>,
+    segments: Vec<KeptSegment>,
 }
 
 /// The queued and running requests of one gateway process.
@@ -95,7 +92,7 @@
     pub(super) missing_models: MissingModels,
     pub(super) model_loads: ModelLoads,
     pub(super) speeds: PrefillSpeeds,
-    pub(super) cached_segments: HashMap<EndpointId, Vec<u64>>,
+    pub(super) kept_prompts: KeptPrompts,
     // When each adapter was first requested; entries expire after `WANTED_ADAPTER_LIFETIME`.
     pub(super) wanted_adapters: HashMap<WantedAdapter, Instant>,
     // An adapter was added to `wanted_adapters`: its agent has to know.
@@ -131,7 +128,7 @@
             missing_models: MissingModels::default(),
             model_loads: ModelLoads::default(),
             speeds: PrefillSpeeds::default(),
-            cached_segments: HashMap::new(),
+            kept_prompts: KeptPrompts::default(),
             wanted_adapters: HashMap::new(),
             adapter_wanted: false,
             recently_used: HashMap::new(),
@@ -213,6 +210,8 @@
     pub fn record_first_response(&mut self, now: Instant, ticket: Ticket) {
         let Some(running) = self.running.get_mut(&ticket).filter(|r| !r.responded) else { return };
         running.responded = true;
+        let segments = std::mem::take(&mut running.segments);
+        self.kept_prompts.record_first_event(now, &running.endpoint, &segments);
         if let Some(model) = &running.model_ref {
             self.missing_models.clear(&running.endpoint, model);
         }
@@ -277,6 +276,7 @@
 
     /// Stores a load report of an endpoint.
     pub fn record_report(&mut self, now: Instant, endpoint: &Endpoint, report: LoadReport) {
+        self.kept_prompts.record_report(endpoint, &report);
         let loaded = &endpoint.residency().loaded;
         let service = &endpoint.registration.service;
         let costs = loaded.iter().map(|m| self.speeds.cost(service, &m.name));
@@ -284,6 +284,16 @@
         self.loads.entry(endpoint.id().clone()).or_default().record_report(now, report, cost);
     }
 
+    /// The prompt segments that engines are believed to keep.
+    pub fn kept_prompts(&self) -> &KeptPrompts {
+        &self.kept_prompts
+    }
+
+    /// The same, to exchange them with other processes.
+    pub fn kept_prompts_mut(&mut self) -> &mut KeptPrompts {
+        &mut self.kept_prompts
+    }
+
     /// The speeds at which engines read prompts.
     pub fn speeds(&self) -> &PrefillSpeeds {
         &self.speeds
@@ -303,7 +313,7 @@
     pub fn retain_registered(&mut self, registry: &EndpointRegistry) {
         let running: HashSet<&EndpointId> = self.running.values().map(|r| &r.endpoint).collect();
         self.loads.retain(|id, _| registry.get(id).is_some() || running.contains(id));
-        self.cached_segments.retain(|id, _| registry.get(id).is_some());
+        self.kept_prompts.retain_registered(registry);
         self.avoided_until.retain(|id, _| registry.get(id).is_some());
         self.silent_until.retain(|id, _| registry.get(id).is_some());
         self.replaced_until.retain(|id, _| registry.get(id).is_some());
@@ -393,7 +403,7 @@
         let requirements = &request.requirements;
         self.limits_changed |= self.limits.take(endpoint);
         self.rests.take(now, endpoint);
-        let read_tokens = self.tokens_to_prefill(endpoint, requirements);
+        let read_tokens = self.tokens_to_prefill(now, endpoint, requirements);
         let cost = self.prompt_cost(&request.service, requirements);
         let prompt_tokens = (f64::from(read_tokens) * cost) as u32;
         let load = self.loads.entry(endpoint.clone()).or_default();
@@ -418,19 +428,12 @@
             expected,
             responded: false,
             model_ref: requirements.model_ref(),
+            segments: chain(requirements),
         };
         let model_ref = running.model_ref.clone();
         self.running.insert(request.ticket, running);
         if let Some(model_ref) = model_ref {
             self.recently_used.entry(endpoint.clone()).or_default().insert(model_ref);
         }
-        let cached = self.cached_segments.entry(endpoint.clone()).or_default();
-        for segment in &requirements.prompt_segments {
-            let key = segment_key(requirements, segment.id);
-            cached.retain(|k| *k != key);
-            cached.push(key);
-        }
-        let surplus = cached.len().saturating_sub(MAX_CACHED_SEGMENTS);
-        cached.drain(..surplus);
     }
 }
--- a/src/core/forwarding/mod.rs
+++ b/src/core/forwarding/mod.rs
@@ -5,6 +5,7 @@
 mod dispatcher;
 mod endpoints;
 mod event_splitter;
+mod kept_prompts;
 mod load;
 mod missing_models;
 mod model_loads;
@@ -29,6 +30,7 @@
     Registration, Residency,
 };
 pub use event_splitter::{EventSplitter, StreamError};
+pub use kept_prompts::{ChainKey, EngineHash, KeptPrompts, KeptSegment, ReportedSegment, chain};
 pub use load::{EndpointLoad, LoadReport};
 pub use missing_models::MissingModels;
 pub use model_loads::ModelLoads;
--- a/src/core/forwarding/selection.rs
+++ b/src/core/forwarding/selection.rs
@@ -267,7 +267,7 @@
             slots <= running || MAX_KV_UTILIZATION <= load.kv_utilization(now, spec.kv_tokens);
         let pending = load.prefill_tokens(now);
         let cost = self.prompt_cost(&endpoint.registration.service, requirements);
-        let prompt = f64::from(self.tokens_to_prefill(endpoint.id(), requirements)) * cost;
+        let prompt = f64::from(self.tokens_to_prefill(now, endpoint.id(), requirements)) * cost;
         let own = load.own_prefill_tokens(now);
         let own_limit = UNASSIGNED_SHARE.max(share) * limit;
         if full || !fits(prompt, pending, limit) || !fits(prompt, own, own_limit) {
@@ -283,17 +283,10 @@
         )
     }
 
-    /// Prompt tokens left to prefill after the leading segments that the endpoint has
-    /// already processed.
-    pub(super) fn tokens_to_prefill(&self, endpoint: &str, requirements: &Requirements) -> u32 {
-        let Some(cached) = self.cached_segments.get(endpoint) else {
-            return requirements.prompt_tokens;
-        };
-        let reused = requirements
-            .prompt_segments
-            .iter()
-            .take_while(|p| cached.contains(&segment_key(requirements, p.id)));
-        requirements.prompt_tokens.saturating_sub(reused.map(|p| p.tokens).sum())
+    /// Prompt tokens left to prefill after the leading segments that the endpoint is believed to
+    /// keep.
+    pub(super) fn tokens_to_prefill(&self, now: Instant, endpoint: &str, r: &Requirements) -> u32 {
+        r.prompt_tokens.saturating_sub(self.kept_prompts.kept_tokens(now, endpoint, r))
     }
 }
 
@@ -353,10 +346,3 @@
     let model = requirements.model.as_ref()?;
     (!engine.models.contains_key(model)).then_some(RefusalReason::UnknownModel)
 }
-
-/// Key of a cached prompt segment; the KV cache is specific to a model and adapter.
-pub(super) fn segment_key(requirements: &Requirements, segment: u64) -> u64 {
-    let model = requirements.model.as_deref().unwrap_or_default();
-    let adapter = requirements.adapter.as_deref().unwrap_or_default();
-    hash::stable(&[model.as_bytes(), adapter.as_bytes(), &segment.to_le_bytes()])
-}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -33,8 +33,8 @@
         streams,
     },
     gossip::{
-        Body, ChangeKind, Demand, EngineLoad, EngineStatus, GatewayStatus, Hello, ResidencyChange,
-        Socket, TrialClaims, rotating_subset,
+        Body, ChangeKind, Demand, EngineLoad, EngineStatus, GatewayStatus, Hello, KeptSegments,
+        ResidencyChange, Socket, TrialClaims, rotating_subset,
     },
     telemetry::names,
 };
@@ -172,6 +172,9 @@
                 let (process, share) = (limits::process_id(from), ShareReport::from(&status));
                 shared.lock().retry_share.record(now, process, share);
                 self.version_gap.record(now, shared.version(), status.configuration, from);
+                if let Some(kept) = &status.kept {
+                    shared.lock().dispatcher.kept_prompts_mut().merge(now, kept.segments());
+                }
                 if let Some(peer) = self.gateways.get_mut(&from) {
                     if peer.last_heard.is_none_or(|at| at + PEER_TIMEOUT <= now) {
                         // The peer may have just started and not know any gateway yet, or
@@ -366,8 +369,21 @@
         let ShareReport { processes, is_informed } = share;
         let known = processes as u32;
         let configuration = shared.version().unwrap_or(0);
-        let status =
-            GatewayStatus { serving, demand, gateways, zone, known, is_informed, configuration };
+        let mut status = GatewayStatus {
+            serving,
+            demand,
+            gateways,
+            zone,
+            known,
+            is_informed,
+            configuration,
+            kept: None,
+        };
+        if broadcast {
+            let room = KeptSegments::room_beside(&status);
+            let kept = shared.lock().dispatcher.kept_prompts_mut().take_report(now, room);
+            status.kept = KeptSegments::new(&kept);
+        }
         let without_demand = GatewayStatus { demand: Vec::new(), ..status.clone() };
         for address in self.gateways.keys() {
             if planner == Some(*address) {
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -332,11 +332,17 @@
     /// Logs the chosen endpoint with the load figures behind the choice.
     pub(super) fn log_sent(&self, endpoint: &EndpointId) {
         let now = Instant::now();
-        let (load, limit, limited) = {
+        let required = &self.requirements;
+        let (load, limit, limited, kept) = {
             let dispatcher = &self.shared.lock().dispatcher;
             let limits = dispatcher.limits();
-            (dispatcher.load(endpoint).clone(), limits.rate(endpoint), limits.len())
+            let kept = dispatcher.kept_prompts().kept_tokens(now, endpoint, required);
+            (dispatcher.load(endpoint).clone(), limits.rate(endpoint), limits.len(), kept)
         };
+        if !required.prompt_segments.is_empty() {
+            counter!(names::PROMPT_TOKENS).increment(u64::from(required.prompt_tokens));
+            counter!(names::KEPT_TOKENS).increment(u64::from(kept));
+        }
         if limit.is_some() {
             counter!(names::LIMITED_SENDS, "endpoint" => endpoint.to_string()).increment(1);
         }
@@ -344,7 +350,7 @@
         info!(
             "event=sent id={} fingerprint={:016x} suspect={suspect} crashes={crashes} {own} \
              endpoint={endpoint} attempt={} waited_ms={} \
-             left_ms={} tokens={} running={} unread={} reading={:.0} report_ms={} pace={:.1} \
+             left_ms={} tokens={} kept={kept} running={} unread={} reading={:.0} report_ms={} pace={:.1} \
              limit={} limited={limited}",
             self.id(),
             self.key.fingerprint,
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -8,7 +8,7 @@
         forwarding::{self, LoadReport, Residency},
         quarantine::{self, Suspect},
     },
-    gossip::{LimitReports, MAX_DATAGRAM_BYTES, Streams},
+    gossip::{KeptSegments, LimitReports, MAX_DATAGRAM_BYTES, Streams},
 };
 
 /// Bytes in a datagram of [`CrashReports`] beside the reports, at most.
@@ -283,6 +283,9 @@
     /// Version of the configuration in force; 0 if there is none, and from earlier versions.
     #[prost(uint64, tag = "8")]
     pub configuration: u64,
+    /// Prompt segments that engines have begun to keep; absent from earlier versions.
+    #[prost(message, optional, tag = "9")]
+    pub kept: Option<KeptSegments>,
 }
 
 impl From<&GatewayStatus> for forwarding::ShareReport {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -3,11 +3,13 @@
 //! Nothing is acknowledged or sent again: each message repeats the current state, so
 //! that a lost datagram only delays an update until the next one.
 
+mod kept_segments;
 mod limit_reports;
 mod messages;
 mod socket;
 mod streams;
 
+pub use kept_segments::KeptSegments;
 pub use limit_reports::{InvalidRate, LimitReport, LimitReports};
 pub use messages::{
     Body, CachedRecord, CachedRecords, ChangeKind, CrashReport, CrashReports, Datagram, Demand,
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -16,6 +16,10 @@
 pub const ATTAINED: &str = "goldcrestpitch_attained_total";
 /// Requests sent to endpoints that name a limit, by endpoint.
 pub const LIMITED_SENDS: &str = "goldcrestpitch_limited_sends_total";
+/// Tokens of the prompts that were sent to endpoints, where the prompts name their segments.
+pub const PROMPT_TOKENS: &str = "goldcrestpitch_prompt_tokens_total";
+/// Those of them that the endpoint was believed to keep.
+pub const KEPT_TOKENS: &str = "goldcrestpitch_kept_prompt_tokens_total";
 /// Endpoints that have said in a response that they leave.
 pub const LEAVING: &str = "goldcrestpitch_leaving_endpoints_total";
 /// Refusals in which an endpoint asked for rest, by endpoint.
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -42,11 +42,52 @@
         known: 400,
         is_informed: true,
         configuration: u64::MAX,
+        kept: None,
     };
     let bytes = encoded_size(Body::GatewayStatus(status));
     assert!(bytes <= MAX_DATAGRAM_BYTES, "{bytes}");
 }
 
+fn kept_segment(i: u32) -> ReportedSegment {
+    let segment = KeptSegment { key: u64::MAX - u64::from(i), tokens: 1_000_000 };
+    ReportedSegment { engine: u32::MAX - i, segment }
+}
+
+/// Guards against a status that is dropped because the kept segments make it too large.
+#[test]
+fn kept_segments_fit_beside_any_status() {
+    for models in 0..40 {
+        let demand = |i| Demand { service: "llm".into(), model: model_name(i), ..Demand::default() };
+        let demand = (0..models).map(demand).collect();
+        let mut status = GatewayStatus { demand, gateways: addresses(8), ..GatewayStatus::default() };
+        let without = encoded_size(Body::GatewayStatus(status.clone()));
+        let room = KeptSegments::room_beside(&status);
+        assert!(room <= 24);
+        let kept: Vec<ReportedSegment> = (0..room as u32).map(kept_segment).collect();
+        status.kept = KeptSegments::new(&kept);
+        assert_eq!(status.kept.iter().flat_map(KeptSegments::segments).collect::<Vec<_>>(), kept);
+        let bytes = encoded_size(Body::GatewayStatus(status));
+        assert!(bytes <= MAX_DATAGRAM_BYTES.max(without), "{bytes} for {models} models");
+    }
+}
+
+/// Guards against a fleet whose status messages an earlier version can't read, and against bytes
+/// for kept segments where there are none.
+#[test]
+fn status_without_kept_segments_is_as_before() {
+    let status = GatewayStatus { serving: true, known: 3, ..GatewayStatus::default() };
+    assert_eq!(KeptSegments::new(&[]), None);
+    assert_eq!(status.encoded_len(), 4);
+    // Tag 15 stands for a field that this version does not know.
+    let mut encoded = status.encode_to_vec();
+    encoded.extend([0x7a, 2, 1, 2]);
+    assert_eq!(GatewayStatus::decode(&*encoded).unwrap(), status);
+    // Lists of unequal length are cut to the shortest.
+    let mut kept = KeptSegments::new(&[kept_segment(1), kept_segment(2)]).unwrap();
+    kept.tokens.pop();
+    assert_eq!(kept.segments().count(), 1);
+}
+
 #[test]
 fn crash_reports_fit_a_datagram() {
     let report = |i| CrashReport {
