--- a/src/core/forwarding/dispatcher.rs
+++ b/src/core/forwarding/dispatcher.rs
@@ -281,6 +281,7 @@
         let service = &endpoint.registration.service;
         let costs = loaded.iter().map(|m| self.speeds.cost(service, &m.name));
         let cost = if loaded.is_empty() { 1.0 } else { costs.sum::<f64>() / loaded.len() as f64 };
+        let cost = cost * self.kept_prompts.prefilled_share(endpoint.id());
         self.loads.entry(endpoint.id().clone()).or_default().record_report(now, report, cost);
     }
 
@@ -404,6 +405,7 @@
         self.limits_changed |= self.limits.take(endpoint);
         self.rests.take(now, endpoint);
         let read_tokens = self.tokens_to_prefill(now, endpoint, requirements);
+        self.kept_prompts.record_sent(endpoint, requirements.prompt_tokens, read_tokens);
         let cost = self.prompt_cost(&request.service, requirements);
         let prompt_tokens = (f64::from(read_tokens) * cost) as u32;
         let load = self.loads.entry(endpoint.clone()).or_default();
--- a/src/core/forwarding/kept_prompts/engine_memory.rs
+++ b/src/core/forwarding/kept_prompts/engine_memory.rs
@@ -13,6 +13,11 @@
 /// replaced in 100 s.
 const MAX_AGE: Duration = Duration::from_secs(90);
 
+/// Weight that earlier requests keep with each new one in the share of tokens to prefill.
+const DECAY: f64 = 0.95;
+/// Prompt tokens for which the share counts as 1 while little is known.
+const PRIOR_TOKENS: f64 = 4_000.0;
+
 #[derive(Clone, Copy, Debug)]
 struct Use {
     at: Instant,
@@ -27,6 +32,9 @@
     free_tokens: Option<u64>,
     started_ms: Option<u64>,
     loaded: Vec<ModelTag>,
+    // Tokens of recently sent prompts, and those of them that were not kept.
+    sent_tokens: f64,
+    prefilled_tokens: f64,
 }
 
 impl EngineMemory {
@@ -34,6 +42,15 @@
         self.segments.len()
     }
 
+    pub(super) fn record_sent(&mut self, tokens: u32, prefilled: u32) {
+        self.sent_tokens = self.sent_tokens * DECAY + f64::from(tokens);
+        self.prefilled_tokens = self.prefilled_tokens * DECAY + f64::from(prefilled);
+    }
+
+    pub(super) fn prefilled_share(&self) -> f64 {
+        (self.prefilled_tokens + PRIOR_TOKENS) / (self.sent_tokens + PRIOR_TOKENS)
+    }
+
     pub(super) fn keeps(&self, now: Instant, key: ChainKey) -> bool {
         self.segments.get(&key).is_some_and(|used| now < used.at + MAX_AGE)
     }
@@ -68,8 +85,7 @@
     /// Drops all if the engine has started again.
     pub(super) fn set_start(&mut self, started_ms: u64) {
         if self.started_ms.replace(started_ms).is_some_and(|before| before != started_ms) {
-            self.segments = HashMap::new();
-            self.tokens = 0;
+            *self = Self { started_ms: self.started_ms, ..Self::default() };
         }
     }
 
--- a/src/core/forwarding/kept_prompts/mod.rs
+++ b/src/core/forwarding/kept_prompts/mod.rs
@@ -73,6 +73,19 @@
 }
 
 impl KeptPrompts {
+    /// Records the length of a prompt that is sent to an engine, and the tokens to prefill there.
+    pub fn record_sent(&mut self, endpoint: &str, tokens: u32, to_prefill: u32) {
+        if let Some(engine) = self.engines.get_mut(&engine_hash(endpoint)) {
+            engine.record_sent(tokens, to_prefill);
+        }
+    }
+
+    /// Share of the tokens of recently sent prompts that the engine had to prefill. Engines report
+    /// whole prompts: without it, those that keep much would seem to have the most work.
+    pub fn prefilled_share(&self, endpoint: &str) -> f64 {
+        self.engines.get(&engine_hash(endpoint)).map_or(1.0, EngineMemory::prefilled_share)
+    }
+
     /// Records that an engine has sent the first event of a request, and so has prefilled the
     /// segments of its prompt.
     pub fn record_first_event(&mut self, now: Instant, endpoint: &str, segments: &[KeptSegment]) {
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -4,10 +4,13 @@
 use std::time::Instant;
 
 use goldcrestpitch::{
-    core::quarantine::{self, SegmentHistory, Suspect},
+    core::{
+        forwarding::{KeptSegment, ReportedSegment},
+        quarantine::{self, SegmentHistory, Suspect},
+    },
     gossip::{
         Body, ChangeKind, CrashReport, CrashReports, Datagram, Demand, EngineStatus, GatewayStatus,
-        Hello, LoadedModel, MAX_DATAGRAM_BYTES, ResidencyChange, SuspectKind,
+        Hello, KeptSegments, LoadedModel, MAX_DATAGRAM_BYTES, ResidencyChange, SuspectKind,
     },
 };
 use prost::Message;
@@ -57,9 +60,11 @@
 #[test]
 fn kept_segments_fit_beside_any_status() {
     for models in 0..40 {
-        let demand = |i| Demand { service: "llm".into(), model: model_name(i), ..Demand::default() };
+        let demand =
+            |i| Demand { service: "llm".into(), model: model_name(i), ..Demand::default() };
         let demand = (0..models).map(demand).collect();
-        let mut status = GatewayStatus { demand, gateways: addresses(8), ..GatewayStatus::default() };
+        let mut status =
+            GatewayStatus { demand, gateways: addresses(8), ..GatewayStatus::default() };
         let without = encoded_size(Body::GatewayStatus(status.clone()));
         let room = KeptSegments::room_beside(&status);
         assert!(room <= 24);
