--- a/tests/kept_prompts/patterns.rs
+++ b/tests/kept_prompts/patterns.rs
@@ -68,7 +68,7 @@
 /// Guards against requests of a session that are spread over engines that have to prefill its
 /// prompt again.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
+#[ignore = "listed in KNOWN-RED.txt"]
 fn hot_sessions_among_cold_ones() {
     let outcomes = outcomes("hot and cold", HOT_AND_COLD);
     assert_as_few_late(&outcomes);
@@ -98,7 +98,7 @@
 
 /// Guards against a choice that old or lost knowledge makes worse than none.
 #[test]
-#[ignore = "KNOWN-RED.txt"]
+#[ignore = "listed in KNOWN-RED.txt"]
 fn knowledge_is_stale() {
     let pattern = Pattern { loss: 0.7, prompt: short_sessions, ..HOT_AND_COLD };
     assert_as_few_late(&outcomes("stale", pattern));
