--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -380,7 +380,8 @@
                 state.admission.record_report(now, &report.running);
                 shared.admit_waiting(&mut state, now);
                 let arrived = state.arrivals.recent_tokens(now, &report.running);
-                report.load.recent_tokens = arrived.max(state.admission.backlog(now));
+                let backlog = state.admission.backlog(now);
+                report.load.recent_tokens = if shared.config.admits { backlog } else { arrived };
                 if std::mem::take(&mut state.engine_lost) {
                     let started_ms = report.started_ms.unwrap_or(0);
                     info!("event=engine_back seq={} started_ms={started_ms}", report.order_seq);
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -9,7 +9,8 @@
         quarantine::{self, Suspect},
     },
     gossip::{
-        AdmissionAnswer, AdmissionRequest, LimitReports, MAX_DATAGRAM_BYTES, QuotaReports, Streams,
+        AdmissionAnswer, AdmissionRequest, KeptSegments, LimitReports, MAX_DATAGRAM_BYTES,
+        QuotaReports, Streams,
     },
 };
 
@@ -297,6 +298,9 @@
     /// Version of the configuration in force; 0 if there is none, and from earlier versions.
     #[prost(uint64, tag = "8")]
     pub configuration: u64,
+    /// Prompt segments that engines have begun to keep; absent from earlier versions.
+    #[prost(message, optional, tag = "9")]
+    pub kept: Option<KeptSegments>,
 }
 
 impl From<&GatewayStatus> for forwarding::ShareReport {
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -4,6 +4,7 @@
 //! that a lost datagram only delays an update until the next one.
 
 mod admission;
+mod kept_segments;
 mod limit_reports;
 mod messages;
 mod quota_reports;
@@ -11,6 +12,7 @@
 mod streams;
 
 pub use admission::{AdmissionAnswer, AdmissionKind, AdmissionRequest};
+pub use kept_segments::KeptSegments;
 pub use limit_reports::{InvalidRate, LimitReport, LimitReports};
 pub use messages::{
     Body, CachedRecord, CachedRecords, ChangeKind, CrashReport, CrashReports, Datagram, Demand,
