--- /dev/null
+++ b/tests/engine_load/fleet.rs
@@ -0,0 +1,472 @@
+//! Gateways and engines in virtual time: callers, messages, reports and faults.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use goldcrestpitch::core::{
+    forwarding::{
+        Change, Decision, EndpointRegistry, EndpointState, LoadReport, LoadedModel, Registration,
+        Residency, RouteTable,
+    },
+    ids::EndpointId,
+};
+
+use crate::{
+    engine::{EVENT_TOKENS, Engine, Job, Output, SLOTS},
+    gateway::{self, Gateway, PATIENCE, PAUSE_TARGET, Policy},
+    outcome::{Outcome, Pause},
+    patterns::{Disturbance, Pattern},
+    workload::{CLASSES, Demand, End, RATE_PER_ENGINE, Stream, model, models_of},
+};
+
+pub const GATEWAYS: usize = 8;
+pub const ENGINES: usize = 10;
+/// Shares of the traffic that reach each gateway.
+const GATEWAY_SHARES: [f64; GATEWAYS] = [0.25, 0.2, 0.15, 0.12, 0.1, 0.08, 0.06, 0.04];
+const LATENCY: Duration = Duration::from_millis(1);
+const REPORT_INTERVAL: Duration = Duration::from_millis(200);
+/// Time from reading the values of a report to sending it.
+const REPORT_AGE: Duration = Duration::from_millis(200);
+/// An engine reports to the gateways that used it within this time.
+const REPORTED_FOR: Duration = Duration::from_secs(2);
+/// Time until the registration of an engine that is gone is removed.
+const REMOVED_AFTER: Duration = Duration::from_millis(1_000);
+/// Waiting requests are looked at again after this time.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Streams that are asked for in this time count; before that, the fleet fills.
+pub const COUNTED_MS: std::ops::Range<u64> = 3_000..15_000;
+const END_MS: u64 = 24_000;
+const MAX_ATTEMPTS: usize = 2;
+const MAX_ASKS: u32 = 2;
+const MAX_INSISTING_ASKS: u32 = 4;
+
+enum Event {
+    Arrive,
+    Ask(usize),
+    AtEngine(usize, Job),
+    StepEnd(usize, u32),
+    Yields(usize, usize, u32, bool),
+    Broken(usize, u32),
+    Report(usize),
+    Deliver(usize, usize, LoadReport),
+    Poll(usize),
+    Patience(usize),
+    Remove(usize, u32),
+    Disturb(usize),
+}
+
+pub struct Fleet<'a> {
+    base: Instant,
+    now: Instant,
+    events: BTreeMap<(Instant, u64), Event>,
+    event_seq: u64,
+    rng: fastrand::Rng,
+    seed: u64,
+    policy: Policy,
+    pattern: &'a Pattern,
+    demand: Demand,
+    table: RouteTable,
+    registry: EndpointRegistry,
+    gateways: Vec<Gateway>,
+    engines: Vec<Engine>,
+    // Starts of each engine, whether it runs, and the share of requests that it fails.
+    starts: [u32; ENGINES],
+    alive: [bool; ENGINES],
+    failing: [f64; ENGINES],
+    extra_models: [Option<usize>; ENGINES],
+    streams: Vec<Stream>,
+    outcome: Outcome,
+}
+
+impl<'a> Fleet<'a> {
+    pub fn new(seed: u64, policy: Policy, pattern: &'a Pattern) -> Self {
+        let base = Instant::now();
+        let mut fleet = Self {
+            base,
+            now: base,
+            events: BTreeMap::new(),
+            event_seq: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            seed,
+            policy,
+            pattern,
+            demand: Demand::USUAL,
+            table: gateway::table(),
+            registry: EndpointRegistry::default(),
+            gateways: (0..GATEWAYS).map(|i| Gateway::new(i, seed, policy)).collect(),
+            engines: (0..ENGINES).map(|i| Engine::new(i, seed)).collect(),
+            starts: [1; ENGINES],
+            alive: [true; ENGINES],
+            failing: [0.0; ENGINES],
+            extra_models: [None; ENGINES],
+            streams: Vec::new(),
+            outcome: Outcome::default(),
+        };
+        for index in 0..ENGINES {
+            fleet.register(index);
+            fleet.schedule(Duration::from_millis(20 * index as u64), Event::Report(index));
+        }
+        for (index, (ms, _)) in pattern.disturbances.iter().enumerate() {
+            fleet.schedule(Duration::from_millis(*ms), Event::Disturb(index));
+        }
+        fleet.schedule(Duration::ZERO, Event::Arrive);
+        fleet
+    }
+
+    pub fn run(mut self) -> Outcome {
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            self.now = at;
+            if self.base + Duration::from_millis(END_MS) < at {
+                break;
+            }
+            self.handle(event);
+        }
+        let preemptions = self.engines.iter().map(|e| e.preemptions).sum::<usize>();
+        self.outcome.preemptions += preemptions;
+        for stream in &self.streams {
+            self.outcome.add(stream);
+        }
+        self.outcome
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.event_seq += 1;
+        self.events.insert((self.now + after, self.event_seq), event);
+    }
+
+    fn now_ms(&self) -> f64 {
+        self.now.duration_since(self.base).as_secs_f64() * 1e3
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Ask(index) => self.ask(index),
+            Event::AtEngine(engine, job) => self.at_engine(engine, job),
+            Event::StepEnd(engine, start) => self.step_end(engine, start),
+            Event::Yields(engine, index, attempt, is_last) => {
+                self.yields(engine, index, attempt, is_last);
+            }
+            Event::Broken(index, attempt) => self.broken(index, attempt),
+            Event::Report(engine) => self.report(engine),
+            Event::Deliver(gateway, engine, report) => {
+                if let Some(endpoint) = self.registry.get(&engine_id(engine)) {
+                    self.gateways[gateway].dispatcher.record_report(self.now, endpoint, report);
+                }
+                self.poll_soon(gateway);
+            }
+            Event::Poll(gateway) => self.poll(gateway),
+            Event::Patience(index) => self.check_patience(index),
+            Event::Remove(engine, start) => {
+                if self.starts[engine] == start && !self.alive[engine] {
+                    self.registry.apply(self.now, Change::Removed(engine_id(engine)), false);
+                    for gateway in &mut self.gateways {
+                        gateway.dispatcher.retain_registered(&self.registry);
+                    }
+                }
+            }
+            Event::Disturb(index) => self.disturb(self.pattern.disturbances[index].1),
+        }
+    }
+
+    fn arrive(&mut self) {
+        let rate = RATE_PER_ENGINE * ENGINES as f64 * self.demand.factor();
+        let wait = -(1.0 - self.rng.f64()).ln() / rate;
+        let now = self.now;
+        let insists = self.pattern.insisting;
+        let mut stream = self.demand.stream(&mut self.rng, now, &GATEWAY_SHARES, insists);
+        stream.counts = COUNTED_MS.contains(&(self.now_ms() as u64));
+        self.streams.push(stream);
+        self.ask(self.streams.len() - 1);
+        if self.now_ms() < COUNTED_MS.end as f64 {
+            self.schedule(Duration::from_secs_f64(wait), Event::Arrive);
+        }
+    }
+
+    fn ask(&mut self, index: usize) {
+        self.streams[index].asked_at = self.now;
+        self.schedule(PATIENCE, Event::Patience(index));
+        self.take(index);
+    }
+
+    fn take(&mut self, index: usize) {
+        let stream = &mut self.streams[index];
+        stream.attempt += 1;
+        stream.endpoint = None;
+        let gateway = stream.gateway;
+        let (ticket, decision) = self.gateways[gateway].take(
+            self.now,
+            index,
+            &self.streams[index],
+            &self.table,
+            &self.registry,
+        );
+        self.streams[index].ticket = ticket;
+        match decision {
+            Some(decision) => self.carry_out(index, decision),
+            None => self.poll_soon(gateway),
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, decision: Decision) {
+        let (now, stream) = (self.now, &mut self.streams[index]);
+        match decision {
+            Decision::Send(endpoint) => {
+                self.gateways[stream.gateway].sent(now, &endpoint);
+                let engine = engine_index(&endpoint);
+                stream.endpoint = Some(endpoint);
+                let id = (index, stream.attempt);
+                let prompt = stream.prompt + stream.received * EVENT_TOKENS;
+                let priority = CLASSES[stream.class].priority;
+                let job = Job::new(id, priority, prompt, stream.output(), stream.segments.clone());
+                self.schedule(LATENCY, Event::AtEngine(engine, job));
+            }
+            Decision::Refuse(_, delay) => {
+                self.gateways[stream.gateway].finish(stream.ticket, None);
+                self.outcome.refusals += usize::from(stream.counts);
+                self.end_or_ask_again(index, End::Refused, delay);
+            }
+        }
+    }
+
+    // A caller that is refused or has left asks again, if it does, and is new to the gateway.
+    fn end_or_ask_again(&mut self, index: usize, end: End, delay: Duration) {
+        let stream = &mut self.streams[index];
+        let asks = match (stream.insists, end) {
+            (true, _) => MAX_INSISTING_ASKS,
+            (false, End::Refused) => MAX_ASKS,
+            (false, _) => 1,
+        };
+        if asks <= stream.asks || 0 < stream.received {
+            stream.end = Some(end);
+            return;
+        }
+        let delay = if stream.insists { LATENCY } else { delay };
+        stream.restart();
+        self.schedule(delay, Event::Ask(index));
+    }
+
+    fn at_engine(&mut self, engine: usize, job: Job) {
+        let (index, attempt) = job.id;
+        let stream = &self.streams[index];
+        if stream.attempt != attempt || stream.end.is_some() {
+            return;
+        }
+        if !self.alive[engine] {
+            let gateway = &mut self.gateways[stream.gateway];
+            gateway.dispatcher.record_not_run(stream.ticket);
+            gateway.dispatcher.avoid(self.now, &engine_id(engine));
+            return self.try_elsewhere(index);
+        }
+        if self.rng.f64() < self.failing[engine] {
+            return self.schedule(LATENCY, Event::Broken(index, attempt));
+        }
+        self.engines[engine].submit(job);
+        if !self.engines[engine].is_stepping {
+            self.begin_step(engine);
+        }
+    }
+
+    fn begin_step(&mut self, engine: usize) {
+        let now_ms = self.now_ms();
+        if let Some(took) = self.engines[engine].begin_step(now_ms) {
+            let event = Event::StepEnd(engine, self.starts[engine]);
+            self.schedule(Duration::from_secs_f64(took / 1e3), event);
+        }
+    }
+
+    fn step_end(&mut self, engine: usize, start: u32) {
+        if self.starts[engine] != start || !self.alive[engine] {
+            return;
+        }
+        for Output { id: (index, attempt), is_last } in self.engines[engine].end_step() {
+            self.schedule(LATENCY, Event::Yields(engine, index, attempt, is_last));
+        }
+        self.begin_step(engine);
+    }
+
+    fn yields(&mut self, engine: usize, index: usize, attempt: u32, is_last: bool) {
+        let (now, now_ms) = (self.now, self.now_ms());
+        let stream = &mut self.streams[index];
+        if stream.attempt != attempt || stream.end.is_some() {
+            return;
+        }
+        let gateway = &mut self.gateways[stream.gateway];
+        gateway.dispatcher.record_first_response(now, stream.ticket);
+        if let Some(last) = stream.last_event {
+            let gap = now.duration_since(last);
+            if PAUSE_TARGET < gap && !stream.paused_too_long {
+                stream.paused_too_long = true;
+                if stream.counts {
+                    let began_ms = now_ms - gap.as_secs_f64() * 1e3;
+                    self.outcome.pauses.push(Pause::new(&self.engines[engine], began_ms, now_ms));
+                }
+            }
+        } else {
+            let took = now.duration_since(stream.asked_at);
+            stream.first_ms = Some(took.as_secs_f64() * 1e3);
+        }
+        stream.last_event = Some(now);
+        stream.received += 1;
+        let gateway_index = stream.gateway;
+        if is_last {
+            stream.end = Some(End::Complete);
+            gateway.finish(stream.ticket, stream.endpoint.as_ref());
+        }
+        self.poll_soon(gateway_index);
+    }
+
+    fn broken(&mut self, index: usize, attempt: u32) {
+        let stream = &mut self.streams[index];
+        if stream.attempt != attempt || stream.end.is_some() {
+            return;
+        }
+        stream.failures += 1;
+        if MAX_ATTEMPTS <= stream.failures {
+            stream.end = Some(End::Failed);
+            self.gateways[stream.gateway].finish(stream.ticket, stream.endpoint.as_ref());
+            return;
+        }
+        self.try_elsewhere(index);
+    }
+
+    fn try_elsewhere(&mut self, index: usize) {
+        let stream = &mut self.streams[index];
+        self.gateways[stream.gateway].finish(stream.ticket, stream.endpoint.as_ref());
+        stream.tried.extend(stream.endpoint.take());
+        self.take(index);
+    }
+
+    fn report(&mut self, engine: usize) {
+        self.schedule(REPORT_INTERVAL, Event::Report(engine));
+        if !self.alive[engine] {
+            return;
+        }
+        let report = self.engines[engine].report(self.now);
+        let id = engine_id(engine);
+        for gateway in 0..GATEWAYS {
+            let used = self.gateways[gateway].last_used.get(&id);
+            if used.is_some_and(|at| self.now < *at + REPORTED_FOR) {
+                let delay = REPORT_AGE + Duration::from_millis(self.rng.u64(1..=20));
+                self.schedule(delay, Event::Deliver(gateway, engine, report));
+            }
+        }
+    }
+
+    fn poll_soon(&mut self, index: usize) {
+        let gateway = &mut self.gateways[index];
+        if gateway.dispatcher.waiting() == 0 {
+            return;
+        }
+        let at = gateway.dispatcher.next_poll().map_or(self.now, |at| at.max(self.now));
+        if gateway.poll_at.is_none_or(|planned| planned <= self.now || at < planned) {
+            gateway.poll_at = Some(at);
+            self.schedule(at - self.now, Event::Poll(index));
+        }
+    }
+
+    fn poll(&mut self, index: usize) {
+        let gateway = &mut self.gateways[index];
+        if gateway.poll_at != Some(self.now) {
+            return;
+        }
+        gateway.poll_at = None;
+        for (ticket, decision) in gateway.dispatcher.poll(self.now, &self.table, &self.registry) {
+            if let Some(stream) = self.gateways[index].streams.get(&ticket).copied() {
+                self.carry_out(stream, decision);
+            }
+        }
+        let gateway = &mut self.gateways[index];
+        if 0 < gateway.dispatcher.waiting() && gateway.poll_at.is_none() {
+            gateway.poll_at = Some(self.now + POLL_INTERVAL);
+            self.schedule(POLL_INTERVAL, Event::Poll(index));
+        }
+    }
+
+    fn check_patience(&mut self, index: usize) {
+        let stream = &mut self.streams[index];
+        let until = stream.asked_at.max(stream.last_event.unwrap_or(stream.asked_at)) + PATIENCE;
+        if stream.end.is_some() || stream.ticket == 0 {
+            return;
+        }
+        if self.now < until {
+            return self.schedule(until - self.now, Event::Patience(index));
+        }
+        self.gateways[stream.gateway].finish(stream.ticket, stream.endpoint.as_ref());
+        if let Some(endpoint) = stream.endpoint.take() {
+            self.engines[engine_index(&endpoint)].cancel((index, stream.attempt));
+        }
+        self.end_or_ask_again(index, End::Left, LATENCY);
+    }
+
+    fn register(&mut self, index: usize) {
+        let models = models_of(index).into_iter().chain(self.extra_models[index]);
+        let loaded = models.map(|m| LoadedModel { name: model(m), adapters: Vec::new() });
+        let residency =
+            Residency { loaded: loaded.collect(), cached: Vec::new(), order_in_progress: false };
+        let registration = Registration {
+            id: engine_id(index),
+            service: "llm".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: "east".into(),
+            version: None,
+            state: EndpointState::Ready,
+            slots: SLOTS as u32,
+            started_ms: u64::from(self.starts[index]),
+            order_seq: u64::from(self.extra_models[index].is_some()),
+            residency,
+        };
+        self.registry.apply(self.now, Change::Registered(registration), false);
+    }
+
+    fn disturb(&mut self, disturbance: Disturbance) {
+        match disturbance {
+            Disturbance::Demand(demand) => self.demand = demand,
+            Disturbance::Slow(engine, factor) => self.engines[engine].slowdown = factor,
+            Disturbance::Failing(engine, share) => self.failing[engine] = share,
+            Disturbance::Load(engine, model) => {
+                self.extra_models[engine] = Some(model);
+                self.register(engine);
+            }
+            Disturbance::Lose(engine) => {
+                self.alive[engine] = false;
+                self.schedule(REMOVED_AFTER, Event::Remove(engine, self.starts[engine]));
+                let id = engine_id(engine);
+                for index in 0..self.streams.len() {
+                    let stream = &self.streams[index];
+                    if stream.end.is_none() && stream.endpoint.as_ref() == Some(&id) {
+                        self.schedule(LATENCY, Event::Broken(index, stream.attempt));
+                    }
+                }
+            }
+            Disturbance::Return(engine) => {
+                self.outcome.preemptions += self.engines[engine].preemptions;
+                self.engines[engine] = Engine::new(engine, self.seed);
+                self.alive[engine] = true;
+                self.starts[engine] += 1;
+                self.register(engine);
+            }
+            Disturbance::NewGateways => {
+                let new = |i| Gateway::new(i, self.seed + 100, self.policy);
+                self.gateways = (0..GATEWAYS).map(new).collect();
+                for index in 0..self.streams.len() {
+                    if self.streams[index].end.is_none() && self.streams[index].ticket != 0 {
+                        self.streams[index].restart();
+                        let delay = Duration::from_millis(self.rng.u64(200..1_000));
+                        self.schedule(delay, Event::Ask(index));
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn engine_id(index: usize) -> EndpointId {
+    format!("i-{index}").into()
+}
+
+fn engine_index(id: &EndpointId) -> usize {
+    id[2..].parse().unwrap()
+}
