--- a/tests/engine_load/engine.rs
+++ b/tests/engine_load/engine.rs
@@ -101,7 +101,8 @@
 impl Engine {
     pub fn new(index: usize, seed: u64) -> Self {
         // The two kinds of the page.
-        let (base_ms, tokens_per_ms) = if index % 2 == 0 { (6.8, 22.1) } else { (10.5, 19.2) };
+        let (base_ms, tokens_per_ms) =
+            if index.is_multiple_of(2) { (6.8, 22.1) } else { (10.5, 19.2) };
         Self {
             base_ms,
             tokens_per_ms,
--- a/tests/engine_load/model_checks.rs
+++ b/tests/engine_load/model_checks.rs
@@ -16,7 +16,9 @@
 
 /// An engine that is never in a slow period.
 fn engine(index: usize) -> Engine {
-    Engine { slow_share: 0.0, ..Engine::new(index, 1) }
+    let mut engine = Engine::new(index, 1);
+    engine.slow_share = 0.0;
+    engine
 }
 
 /// Fails if the model is faster or slower at prefill than the engines that it stands for.
@@ -63,7 +65,7 @@
         engine.submit(Job::new((id, 1), priority, prompt, 200, Vec::new()));
     }
     let mut last = Vec::new();
-    while let Some(_took) = engine.begin_step(0.0) {
+    while engine.begin_step(0.0).is_some() {
         last.extend(engine.end_step().iter().filter(|o| o.is_last).map(|o| o.id.0));
     }
     assert_eq!((engine.preemptions, last), (1, vec![1, 0, 2]));
