--- a/tests/engine_load/patterns.rs
+++ b/tests/engine_load/patterns.rs
@@ -7,7 +7,7 @@
     workload::Demand,
 };
 
-const SEEDS: std::ops::Range<u64> = 1..5;
+const SEEDS: std::ops::Range<u64> = 1..9;
 /// When a disturbance begins, after the fleet has filled.
 const BEGIN_MS: u64 = 6_000;
 
