--- a/src/core/admission/prompt_admission.rs
+++ b/src/core/admission/prompt_admission.rs
@@ -179,9 +179,23 @@
         }
     }
 
+    /// Removes the prompts that have waited for as long as they may, with the time until there
+    /// may be room for each.
+    pub fn take_expired(&mut self, now: Instant) -> Vec<(AdmissionId, Duration)> {
+        let is_expired = |ask: &Ask| ask.wait_until < now;
+        let expired: Vec<_> =
+            self.waiting.iter().filter(|(_, (_, ask))| is_expired(ask)).map(|(k, _)| *k).collect();
+        let mut taken = Vec::with_capacity(expired.len());
+        for key in expired {
+            if let Some((id, ask)) = self.waiting.remove(&key) {
+                taken.push((id, self.wait(now, key, &ask)));
+            }
+        }
+        taken
+    }
+
     /// Admits the prompts that wait and for which there is room, the most urgent first.
     pub fn take_admitted(&mut self, now: Instant) -> Vec<AdmissionId> {
-        self.waiting.retain(|_, (_, ask)| now <= ask.wait_until);
         let mut taken = Vec::new();
         while let Some((key, (id, ask))) = self.waiting.first_key_value()
             && self.room(now, ask).is_zero()
--- a/src/engine_agent/admission.rs
+++ b/src/engine_agent/admission.rs
@@ -47,6 +47,9 @@
         for id in state.admission.take_admitted(now) {
             self.answer(id, Answer::Admitted);
         }
+        for (id, wait) in state.admission.take_expired(now) {
+            self.answer(id, Answer::Full(wait));
+        }
     }
 
     fn answer(&self, (gateway, ticket): AdmissionId, answer: Answer) {
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -21,8 +21,12 @@
 /// Time in which an agent answers: a round trip between regions takes 41 ms, and a busy gateway
 /// reads datagrams up to 50 ms late.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
-/// Requests that are sent to an agent without an answer before the prompt is sent without one.
+/// Requests to an agent without an answer after which another engine is chosen: the VM that the
+/// agent shares with its engine may be frozen, and the engine would read the prompt when its caller
+/// has left. Agents of which no report arrives for 1.5 s are not asked any more.
 const MAX_UNANSWERED: u32 = 2;
+/// Time for which the engine of an agent that does not answer is not chosen again.
+const UNANSWERED_FULL_TIME: Duration = Duration::from_millis(300);
 /// Longest wait at one agent; then another engine may have room sooner.
 const MAX_AGENT_WAIT: Duration = Duration::from_millis(250);
 /// Shortest time for which an engine without room is not chosen again.
@@ -30,7 +34,7 @@
 
 /// What came of a request for admission.
 pub(super) enum Admission {
-    /// The prompt may be sent, or nobody decides on it.
+    /// The prompt may be sent, or there is no agent to ask.
     Send,
     /// The engine has no room for this long.
     Full(Duration),
@@ -115,8 +119,8 @@
                     unanswered += 1;
                     if MAX_UNANSWERED <= unanswered {
                         warn!("event=admission_unanswered id={} endpoint={endpoint}", self.id());
-                        pending.is_decided = true;
-                        return Admission::Send;
+                        self.shared.lock().dispatcher.record_silence(Instant::now(), endpoint);
+                        return Admission::Full(UNANSWERED_FULL_TIME);
                     }
                     timeout = ANSWER_TIMEOUT;
                     pending.send();
--- a/tests/engine_load/engine.rs
+++ b/tests/engine_load/engine.rs
@@ -154,6 +154,11 @@
         }
     }
 
+    /// The running requests, as the agent reads them.
+    pub fn runs(&self) -> Vec<RunningRequest> {
+        self.running.iter().map(running_request).collect()
+    }
+
     /// Begins a step and returns its duration; none if there is nothing to do.
     pub fn begin_step(&mut self, now_ms: f64) -> Option<f64> {
         for job in self.running.extract_if(.., |job| job.output == 0) {
@@ -276,7 +281,8 @@
 
 fn running_request(job: &Job) -> RunningRequest {
     let id = format!("{}-{}", job.id.0, job.id.1);
-    RunningRequest { id: id.into(), tokens: u64::from(job.prompt + job.generated) }
+    let events = u64::from(job.generated.div_ceil(EVENT_TOKENS));
+    RunningRequest { id: id.into(), tokens: u64::from(job.prompt + job.generated), events }
 }
 
 // Pins the first `count` segments of a request, whose memory it shares with others.
--- a/tests/engine_load/faults.rs
+++ b/tests/engine_load/faults.rs
@@ -9,7 +9,7 @@
 use crate::{
     engine::{Engine, SLOTS},
     fleet::{Event, Fleet, GATEWAYS, LATENCY, engine_id},
-    gateway::Gateway,
+    gateway::{Gateway, Policy},
     patterns::Disturbance,
     workload::{model, models_of},
 };
@@ -28,7 +28,10 @@
         if !self.alive[engine] {
             return;
         }
-        let report = self.engines[engine].report(self.now);
+        let mut report = self.engines[engine].report(self.now);
+        if self.policy == Policy::Product {
+            report.recent_tokens = self.agents[engine].backlog(self.now);
+        }
         let id = engine_id(engine);
         for gateway in 0..GATEWAYS {
             let used = self.gateways[gateway].last_used.get(&id);
@@ -82,6 +85,7 @@
             Disturbance::Return(engine) => {
                 self.outcome.preemptions += self.engines[engine].preemptions;
                 self.engines[engine] = Engine::new(engine, self.seed);
+                self.agents[engine].restart();
                 self.alive[engine] = true;
                 self.starts[engine] += 1;
                 self.register(engine);
@@ -89,6 +93,7 @@
             Disturbance::NewGateways => {
                 let new = |i| Gateway::new(i, self.seed + 100, self.policy);
                 self.gateways = (0..GATEWAYS).map(new).collect();
+                self.set_admitting();
                 for index in 0..self.streams.len() {
                     if self.streams[index].end.is_none() && self.streams[index].ticket != 0 {
                         self.streams[index].restart();
--- a/tests/engine_load/fleet.rs
+++ b/tests/engine_load/fleet.rs
@@ -1,16 +1,18 @@
 //! Gateways and engines in virtual time: callers, messages, reports and faults.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
 use goldcrestpitch::core::{
+    admission::{AdmissionId, PromptAdmission},
     forwarding::{Change, Decision, EndpointRegistry, LoadReport, RouteTable},
     ids::EndpointId,
 };
 
 use crate::{
+    admission,
     engine::{EVENT_TOKENS, Engine, Job, Output},
     gateway::{self, Gateway, PATIENCE, PAUSE_TARGET, Policy},
     outcome::{Outcome, Pause},
@@ -36,6 +38,10 @@
     Arrive,
     Ask(usize),
     AtEngine(usize, Job),
+    AskAgent(usize, Job),
+    Full(usize, u32, Duration),
+    Admit(usize),
+    Progress(usize),
     StepEnd(usize, u32),
     Yields(usize, usize, u32, bool),
     Broken(usize, u32),
@@ -63,6 +69,9 @@
     pub registry: EndpointRegistry,
     pub gateways: Vec<Gateway>,
     pub engines: Vec<Engine>,
+    pub agents: Vec<PromptAdmission>,
+    // Requests that wait at agents.
+    pub held: HashMap<AdmissionId, Job>,
     // Starts of each engine, whether it runs, and the share of requests that it fails.
     pub starts: [u32; ENGINES],
     pub alive: [bool; ENGINES],
@@ -90,6 +99,8 @@
             registry: EndpointRegistry::default(),
             gateways: (0..GATEWAYS).map(|i| Gateway::new(i, seed, policy)).collect(),
             engines: (0..ENGINES).map(|i| Engine::new(i, seed)).collect(),
+            agents: admission::agents(),
+            held: HashMap::new(),
             starts: [1; ENGINES],
             alive: [true; ENGINES],
             failing: [0.0; ENGINES],
@@ -100,7 +111,9 @@
         for index in 0..ENGINES {
             fleet.register(index);
             fleet.schedule(Duration::from_millis(20 * index as u64), Event::Report(index));
+            fleet.schedule(Duration::from_millis(6 * index as u64), Event::Progress(index));
         }
+        fleet.set_admitting();
         for (index, (ms, _)) in pattern.disturbances.iter().enumerate() {
             fleet.schedule(Duration::from_millis(*ms), Event::Disturb(index));
         }
@@ -138,6 +151,10 @@
             Event::Arrive => self.arrive(),
             Event::Ask(index) => self.ask(index),
             Event::AtEngine(engine, job) => self.at_engine(engine, job),
+            Event::AskAgent(engine, job) => self.ask_agent(engine, job),
+            Event::Full(index, attempt, full) => self.choose_again(index, attempt, full),
+            Event::Admit(engine) => self.admit_waiting(engine),
+            Event::Progress(engine) => self.read_progress(engine),
             Event::StepEnd(engine, start) => self.step_end(engine, start),
             Event::Yields(engine, index, attempt, is_last) => {
                 self.yields(engine, index, attempt, is_last);
@@ -214,7 +231,7 @@
                 let prompt = stream.prompt + stream.received * EVENT_TOKENS;
                 let priority = CLASSES[stream.class].priority;
                 let job = Job::new(id, priority, prompt, stream.output(), stream.segments.clone());
-                self.schedule(LATENCY, Event::AtEngine(engine, job));
+                self.send(engine, job);
             }
             Decision::Refuse(_, delay) => {
                 self.gateways[stream.gateway].finish(stream.ticket, None);
@@ -333,7 +350,7 @@
         self.take(index);
     }
 
-    fn poll_soon(&mut self, index: usize) {
+    pub fn poll_soon(&mut self, index: usize) {
         let gateway = &mut self.gateways[index];
         if gateway.dispatcher.waiting() == 0 {
             return;
@@ -373,6 +390,8 @@
             return self.schedule(until - self.now, Event::Patience(index));
         }
         self.gateways[stream.gateway].finish(stream.ticket, stream.endpoint.as_ref());
+        self.withdraw(index);
+        let stream = &mut self.streams[index];
         if let Some(endpoint) = stream.endpoint.take() {
             self.engines[engine_index(&endpoint)].cancel((index, stream.attempt));
         }
--- a/tests/engine_load/gateway.rs
+++ b/tests/engine_load/gateway.rs
@@ -81,6 +81,7 @@
         timeout: Duration::from_secs(30),
         target: class.target,
         pause_target: PAUSE_TARGET,
+        needs_key: false,
         patience: Some(PATIENCE),
         priority: class.priority,
         services: vec![WeightedService { service: "llm".into(), weight: 1 }],
@@ -142,6 +143,12 @@
         self.last_used.insert(endpoint.clone(), now);
     }
 
+    pub fn not_sent(&mut self, endpoint: &EndpointId) {
+        if let Some(count) = self.in_flight.get_mut(endpoint) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
     pub fn finish(&mut self, ticket: Ticket, endpoint: Option<&EndpointId>) {
         self.streams.remove(&ticket);
         if self.policy == Policy::Product {
