--- a/src/core/admission/prompt_admission.rs
+++ b/src/core/admission/prompt_admission.rs
@@ -66,7 +66,6 @@
     at: Instant,
     work: u32,
     kv_tokens: u64,
-    pause: Duration,
     seen: bool,
     reading: bool,
 }
@@ -97,6 +96,8 @@
     admitted: HashMap<Arc<str>, Admitted>,
     // When work was admitted, to bound what an event of a stream has to wait for.
     recent: VecDeque<(Instant, u32)>,
+    // The longest pause that was named, for which `recent` reaches back.
+    window: Duration,
     waiting: BTreeMap<(u8, u64), (AdmissionId, Ask)>,
     next: u64,
     // Requests of the last report that were not admitted here.
@@ -228,13 +229,13 @@
     }
 
     fn admit(&mut self, now: Instant, ask: &Ask) {
-        self.recent.retain(|(at, _)| now < *at + ask.pause);
+        self.window = self.window.max(ask.pause);
+        self.recent.retain(|(at, _)| now < *at + self.window);
         self.recent.push_back((now, ask.work));
         let admitted = Admitted {
             at: now,
             work: ask.work,
             kv_tokens: ask.kv_tokens,
-            pause: ask.pause,
             seen: false,
             reading: true,
         };
@@ -254,8 +255,8 @@
     /// Work admitted within the last pause or still not read, whichever is more.
     fn unread(&self, now: Instant) -> u64 {
         let recent = self.recent.iter().map(|(at, work)| (at, u64::from(*work)));
-        let longest = self.admitted.values().map(|a| a.pause).max().unwrap_or_default();
-        let recent: u64 = recent.filter(|(at, _)| now < **at + longest).map(|(_, work)| work).sum();
+        let recent: u64 =
+            recent.filter(|(at, _)| now < **at + self.window).map(|(_, work)| work).sum();
         let reading = self.admitted.values().filter(|a| a.reading);
         recent.max(reading.map(|a| u64::from(a.work)).sum())
     }
