Admission uses the prefill speed of request routing

Cause: the speed of the data sheet's engine, 19.2 tokens/ms, stood twice; gateways state work in the unit that agents turn into time, so that the two must not differ. Change: one constant. Behaviour is the same. Result: clippy and formatter clean, tests/engine_admission.rs 6 of 6; the other tests were not repeated.

--- a/src/core/admission/prompt_admission.rs
+++ b/src/core/admission/prompt_admission.rs
@@ -7,11 +7,10 @@
     time::{Duration, Instant},
 };
 
-use crate::core::{admission::EnginePace, residency::RunningRequest};
+use crate::core::{
+    admission::EnginePace, forwarding::PREFILL_TOKENS_PER_MS, residency::RunningRequest,
+};
 
-/// Prompt tokens that an engine reads in a millisecond, by the operators' data sheet; gateways
-/// state work in such tokens.
-const TOKENS_PER_MS: f64 = 19.2;
 /// Share of the budget below which a prompt of any length is admitted.
 const FREE_SHARE: f64 = 0.25;
 /// Share of the budget that is open to each step of priority below the most urgent one, so that
@@ -126,7 +125,7 @@
 
     /// Updates the admitted requests from a report of the engine.
     pub fn record_report(&mut self, now: Instant, runs: &[RunningRequest]) {
-        self.pace.record(now, runs, TOKENS_PER_MS);
+        self.pace.record(now, runs, PREFILL_TOKENS_PER_MS);
         let mut reported: HashMap<&Arc<str>, &RunningRequest> =
             runs.iter().map(|r| (&r.id, r)).collect();
         self.admitted.retain(|id, admitted| {
@@ -252,7 +251,7 @@
         let steps = f64::from(self.tokens_per_event.max(1)) * self.pace.step_ms() * slowdown;
         let reading = (pause - steps).max(pause * MIN_READING_SHARE);
         let share = (1.0 - PRIORITY_STEP * f64::from(ask.priority)).max(MIN_PRIORITY_SHARE);
-        reading * TOKENS_PER_MS / slowdown * share
+        reading * PREFILL_TOKENS_PER_MS / slowdown * share
     }
 
     /// Work admitted within the last pause or still not read, whichever is more.
@@ -282,7 +281,7 @@
         if excess <= 0.0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(excess * self.pace.slowdown() / TOKENS_PER_MS / 1e3)
+        Duration::from_secs_f64(excess * self.pace.slowdown() / PREFILL_TOKENS_PER_MS / 1e3)
     }
 
     /// Time until a prompt at this position is admitted.
--- a/src/core/forwarding/mod.rs
+++ b/src/core/forwarding/mod.rs
@@ -44,6 +44,7 @@
     Service, ServiceName, WeightedService,
 };
 pub use selection::Locality;
+pub(crate) use selection::PREFILL_TOKENS_PER_MS;
 pub use subset::EndpointSubset;
 pub use time_limit::TimeLimit;
 pub use version_gap::VersionGap;
--- a/src/core/forwarding/selection.rs
+++ b/src/core/forwarding/selection.rs
@@ -20,7 +20,7 @@
 /// read prompts is stated in such tokens; [`PrefillSpeeds`] corrects it for each model.
 ///
 /// [`PrefillSpeeds`]: crate::core::forwarding::PrefillSpeeds
-pub(super) const PREFILL_TOKENS_PER_MS: f64 = 19.2;
+pub(crate) const PREFILL_TOKENS_PER_MS: f64 = 19.2;
 /// Part of the time to first token that does not depend on the prompt.
 pub(super) const BASE_FIRST_TOKEN_TIME: Duration = Duration::from_millis(90);
 /// Expected response time of an idle endpoint that is not an engine.
