Log lines name the connection of each send and the id in its response

Each send now ends in a line response or no_response with the number of the connection, the requests that were sent on it and how often this one was; two counters. No decision changes.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod config;
+pub mod correlation;
 pub mod forwarding;
 pub mod hash;
 pub mod idempotency;
--- a/src/gateway/outbound.rs
+++ b/src/gateway/outbound.rs
@@ -8,11 +8,14 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{HeaderMap, Method, Request, Response, Uri, body::Incoming};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
+use log::info;
+use metrics::counter;
 use tokio::time;
 
 use crate::{
     core::{
+        correlation::ResponseId,
         forwarding::TimeLimit,
         ids::{AccountName, EndpointId},
         limits::NamedLimit,
@@ -23,6 +26,7 @@
         upstream::{CONNECT_TIMEOUT, Connection, SendError},
     },
     platform::{self, ForwardParams, NotRunReason, ResponseHead},
+    telemetry::names,
 };
 
 /// Maximum size of a response that is not streamed, bytes.
@@ -72,7 +76,8 @@
         let (response, connection) =
             self.exchange(&endpoint, address, last_event.as_deref()).await?;
         let head = platform::parse_response_head(response.status(), response.headers(), &self.id);
-        if !head.matches_request {
+        self.log_response(&endpoint, &connection, response.status(), &head);
+        if head.id == ResponseId::Other {
             return Err(AttemptError::MayHaveRun(
                 "the response belongs to another request".to_owned(),
             ));
@@ -139,15 +144,56 @@
             platform::set_account(&mut headers, name);
         }
         *req.headers_mut() = headers;
-        let reused = connection.was_used();
-        match time::timeout(self.limit.until_answer(now), connection.send(req)).await {
+        let reused = 0 < connection.history().requests();
+        let sending = connection.send(&self.id, req);
+        let result = match time::timeout(self.limit.until_answer(now), sending).await {
             Err(_) => Err(AttemptError::TimedOut),
             Ok(Err(SendError::NotSent(text))) => Err(AttemptError::NotSent(text)),
             Ok(Err(SendError::MayHaveRun(text))) => {
                 Err(AttemptError::MayHaveRun(format!("{text} (reused connection: {reused})")))
             }
             Ok(Ok(response)) => Ok(response),
+        };
+        if let Err(err) = &result {
+            self.log_no_response(endpoint, connection, err);
         }
+        result
+    }
+
+    /// Logs the connection and the request id of a response head.
+    fn log_response(
+        &self,
+        endpoint: &EndpointId,
+        connection: &Connection,
+        status: StatusCode,
+        head: &ResponseHead,
+    ) {
+        let (number, history) = (connection.number(), connection.history());
+        info!(
+            "event=response id={} endpoint={endpoint} connection={number} requests={} sends={} \
+             status={} response_id={} not_run={}",
+            String::from_utf8_lossy(&self.id),
+            history.requests(),
+            history.sends(&self.id),
+            status.as_u16(),
+            head.id.as_str(),
+            head.not_run.map_or("-".to_owned(), |reason| format!("{reason:?}")),
+        );
+        counter!(names::RESPONSES, "id" => head.id.as_str()).increment(1);
+    }
+
+    /// Logs the connection of a send that got no response head.
+    fn log_no_response(&self, endpoint: &EndpointId, connection: &Connection, err: &AttemptError) {
+        let (number, history) = (connection.number(), connection.history());
+        let sent = !matches!(err, AttemptError::NotSent(_));
+        info!(
+            "event=no_response id={} endpoint={endpoint} connection={number} requests={} \
+             sends={} sent={sent}",
+            String::from_utf8_lossy(&self.id),
+            history.requests(),
+            history.sends(&self.id),
+        );
+        counter!(names::UNANSWERED, "sent" => if sent { "yes" } else { "no" }).increment(1);
     }
 
     /// Reads the rest of an endpoint's refusal so that the connection can be reused.
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -4,7 +4,10 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -20,7 +23,7 @@
 use socket2::SockRef;
 use tokio::{net::TcpStream, task::AbortHandle, time};
 
-use crate::telemetry::names;
+use crate::{core::correlation::ConnectionHistory, telemetry::names};
 
 /// Time to establish a connection: twice the round-trip time between regions, plus
 /// room for one lost packet.
@@ -36,6 +39,9 @@
 /// How long before the endpoint's own timeout an idle connection is closed.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(600);
 
+/// Number of the next connection, for the log.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+
 /// Why a request got no response.
 #[derive(Debug)]
 pub(super) enum SendError {
@@ -48,10 +54,11 @@
 /// A connection to an endpoint, closed when dropped.
 #[derive(Debug)]
 pub(super) struct Connection {
+    number: u64,
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
-    used: bool,
+    history: ConnectionHistory,
 }
 
 impl Drop for Connection {
@@ -82,23 +89,35 @@
             // A pending `send` reports the error.
             let _ = connection.await;
         });
-        Ok(Self { address, sender, driver: driver.abort_handle(), used: false })
+        Ok(Self {
+            number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
+            address,
+            sender,
+            driver: driver.abort_handle(),
+            history: ConnectionHistory::default(),
+        })
+    }
+
+    /// Identifies the connection in the log of this process.
+    pub(super) fn number(&self) -> u64 {
+        self.number
     }
 
-    /// Whether a request was sent on this connection before.
-    pub(super) fn was_used(&self) -> bool {
-        self.used
+    /// The requests that were sent on this connection.
+    pub(super) fn history(&self) -> &ConnectionHistory {
+        &self.history
     }
 
-    /// Sends a request and waits for the response head.
+    /// Sends a request with this id and waits for the response head.
     pub(super) async fn send(
         &mut self,
+        id: &[u8],
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         if let Err(err) = self.sender.ready().await {
             return Err(SendError::NotSent(err.to_string()));
         }
-        self.used = true;
+        self.history.record(id);
         self.sender.send_request(req).await.map_err(|err| match err.is_canceled() {
             true => SendError::NotSent(err.to_string()),
             false => SendError::MayHaveRun(err.to_string()),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::core::{
+    correlation::ResponseId,
     forwarding::{PromptSegment, Requirements},
     hash,
     ids::HeaderHash,
@@ -251,8 +252,8 @@
 /// Content of the head of an endpoint's response.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
-    /// Whether the response has the id of the request, or none.
-    pub matches_request: bool,
+    /// The request id in the response.
+    pub id: ResponseId,
     /// Set if the request was certainly not executed.
     pub not_run: Option<NotRunReason>,
     /// Whether the response can be used: a success must have a signature and no content
@@ -317,7 +318,7 @@
     });
     let is_signed = headers.contains_key(&SIGNATURE);
     ResponseHead {
-        matches_request: headers.get(&REQUEST_ID).is_none_or(|v| v.as_bytes() == id),
+        id: ResponseId::new(headers.get(&REQUEST_ID).map(HeaderValue::as_bytes), id),
         not_run,
         is_valid: !status.is_success()
             || (is_signed && !headers.contains_key(header::CONTENT_ENCODING)),
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -54,6 +54,10 @@
 pub const CPU: &str = "goldcrestpitch_process_cpu_seconds";
 /// Connections opened to endpoints.
 pub const CONNECTIONS: &str = "goldcrestpitch_connections_total";
+/// Response heads of endpoints, by whose request id they bear.
+pub const RESPONSES: &str = "goldcrestpitch_endpoint_responses_total";
+/// Sends to endpoints without a response head, by whether the request may have run.
+pub const UNANSWERED: &str = "goldcrestpitch_unanswered_sends_total";
 /// How much later than due timers run, in seconds.
 pub const LOOP_LAG: &str = "goldcrestpitch_loop_lag_seconds";
 /// Endpoints that were examined for waiting requests since the start.
--- a/tests/gateway/explained.rs
+++ b/tests/gateway/explained.rs
@@ -222,18 +222,24 @@
     });
     assert_eq!(events_for_request("refused-1"), ["refused", "request_end"]);
     assert_eq!(events_for_request("account-1"), ["account_refused"]);
-    assert_eq!(events_for_request("account-2"), ["sent", "request_end"]);
-    assert!(lines_for_request("account-2")[1].contains(" account=hule930 "));
+    assert_eq!(events_for_request("account-2"), ["sent", "response", "request_end"]);
+    assert!(lines_for_request("account-2")[2].contains(" account=hule930 "));
     let with_key = LINES.lock().unwrap().iter().find(|l| l.contains("secret-")).cloned();
     assert_eq!(with_key, None, "keys must not be logged");
-    assert_eq!(events_for_request("failed-1"), ["sent", "broken", "refused", "request_end"]);
+    assert_eq!(
+        events_for_request("failed-1"),
+        ["sent", "no_response", "broken", "refused", "request_end"]
+    );
     assert_eq!(events_for_request("crashing-9"), ["refused", "request_end"]);
     assert_eq!(events_for_request("shared-9"), ["refused", "request_end"]);
     let refusal = &lines_for_request("shared-9")[0];
     assert!(refusal.contains(" suspect=segment:0000000000000bad crashes=5 "), "{refusal}");
     let sent = &lines_for_request("shared-4")[0];
     assert!(sent.contains(" suspect=segment:0000000000000bad crashes=4 "), "{sent}");
-    assert_eq!(events_for_request("broken-1"), ["sent", "stream_broken", "request_end"]);
+    assert_eq!(
+        events_for_request("broken-1"),
+        ["sent", "response", "stream_broken", "request_end"]
+    );
     let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/OPERATIONS.md");
     let page = std::fs::read_to_string(page).unwrap();
     let mut documented = 0;
@@ -255,6 +261,8 @@
         goldcrestpitch::telemetry::names::ACCOUNT_REFUSALS,
         goldcrestpitch::telemetry::names::ACCOUNTS_AGE,
         goldcrestpitch::telemetry::names::RETRIES,
+        goldcrestpitch::telemetry::names::RESPONSES,
+        goldcrestpitch::telemetry::names::UNANSWERED,
         goldcrestpitch::telemetry::names::SUSPECTED_CRASHES,
         goldcrestpitch::telemetry::names::WAITING,
         goldcrestpitch::telemetry::names::LIMITED_SENDS,
