Failing tests: a copy of a refusal, or one without an id, ends a request that runs

On this code: - an address under two ids: 421, 503 and 429 alike, the request is sent again on the connection that refused it, and a copy of the refusal gives its caller 503 although it runs; under three ids it runs twice (2 for 1); - a caller that sends an id again gets 503 for the request that runs; - a 503 without an id on a used connection is believed: (503, 2 runs) in three of six requests.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod accounts;
 mod bootstrap;
 mod config;
+mod copied_answers;
 mod crashing_callers;
 mod crashing_requests;
 mod crashing_segments;
