A copy of an answer is not taken for that to the next order

Operators would see `event=order ... answer=Accepted` for a load that the engine had refused, or `Conflict` for one that it carried out; after the former the agent gives no further order to load a model, until the engine restarted or adapters moved its `Seq` on.

Cause: orders share a kept connection, and their answers were counted in the order of arrival.

The fix: each order has an id of its own (holder, start of the process, number). An answer counts if it has that id, or if it has none and is the first on its connection, which then carries no other order. Any other closes the connection and is `OrderError::Unknown`: the order may have been carried out, and the scheduler keeps it among the late ones. So no other order can have caused an answer that counts. The line `event=order` has the field `error`, without which `Unknown` could not be explained.

--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -427,13 +427,14 @@
 
 async fn send_order(shared: &SharedState, order: &EngineOrder) {
     let answer = shared.engine.order(order).await;
-    let text = match &answer {
-        Ok(answer) => format!("{answer:?}"),
-        Err(OrderError::NotSent(_)) => "NotSent".to_owned(),
-        Err(OrderError::Unknown(_)) => "Unknown".to_owned(),
+    let (text, error) = match &answer {
+        Ok(answer) => (format!("{answer:?}"), "-"),
+        Err(OrderError::NotSent(error)) => ("NotSent".to_owned(), error.as_str()),
+        Err(OrderError::Unknown(error)) => ("Unknown".to_owned(), error.as_str()),
     };
     info!(
-        "event=order engine={} kind={:?} model={} adapter={} expected={} fence={} answer={text}",
+        "event=order engine={} kind={:?} model={} adapter={} expected={} fence={} answer={text} \
+         error=\"{error}\"",
         order.endpoint.as_deref().unwrap_or("-"),
         order.operation,
         order.model,
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -12,15 +12,18 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time;
 
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+pub(super) const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an idle connection is kept.
+pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Why a request has no usable response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClientError {
     /// The request was not sent: its path was invalid or no connection could be made.
     NotSent(String),
-    /// The connection failed or the request timed out; it may have been executed.
+    /// The connection failed, the request timed out, or the response may be that to another
+    /// request; it may have been executed.
     NoResponse(String),
     /// The peer responded with a status other than 2xx.
     Status(StatusCode, Bytes),
@@ -58,7 +61,7 @@
         connector.set_nodelay(true);
         let pool = PooledClient::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_idle_timeout(IDLE_TIMEOUT)
             .retry_canceled_requests(false)
             .build(connector);
         Self { peer, pool }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,6 +6,7 @@
 mod memory;
 mod read_body;
 mod request_body;
+mod serial_client;
 mod server;
 mod sse;
 mod tracked_body;
@@ -15,6 +16,7 @@
 pub use memory::{HeldBuffer, MemoryBudget};
 pub use read_body::read_body;
 pub use request_body::RequestBody;
+pub use serial_client::SerialClient;
 pub use server::{
     ClientAddress, Reply, ServerLimits, Stop, StopSignal, json, refusal, serve, serve_with_limits,
     stop_channel, text,
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -12,10 +12,10 @@
             EngineOrder, EngineReport, Operation, OrderAnswer, OrderError, RunningRequest,
         },
     },
-    http::{Client, ClientError},
+    http::{Client, ClientError, SerialClient},
     platform::{
         DecodeError,
-        headers::EXPECTED_ENDPOINT,
+        headers::{EXPECTED_ENDPOINT, REQUEST_ID},
         registration::{CachedModelsWire, LoadedModelWire, residency},
     },
 };
@@ -126,19 +126,19 @@
 }
 
 /// Client of one engine.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct EngineClient {
     reports: Client,
-    // On connections of their own: an answer that comes twice, late, is then not taken for that to
-    // an order.
-    orders: Client,
+    // On a connection of its own, so that reports do not wait for the answer to an order.
+    orders: SerialClient,
     holder: String,
 }
 
 impl EngineClient {
     /// Creates a client of the engine at an address. `holder` names the sender in orders.
     pub fn new(address: SocketAddr, holder: &str) -> Self {
-        let (reports, orders) = (Client::new(address), Client::new(address));
+        let reports = Client::new(address);
+        let orders = SerialClient::new(address, REQUEST_ID, holder);
         Self { reports, orders, holder: holder.to_owned() }
     }
 
@@ -156,7 +156,7 @@
     ///
     /// # Errors
     /// [`OrderError::NotSent`] if the order was not sent; [`OrderError::Unknown`] if it may
-    /// be carried out although there is no valid answer.
+    /// be carried out although no answer is certain to be its own.
     pub async fn order(&self, order: &EngineOrder) -> Result<OrderAnswer, OrderError> {
         let wire = OrderWire {
             opcode: match order.operation {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -18,7 +18,7 @@
 /// Path of the readiness check of a process.
 pub const READY_PATH: &str = "/-/ready";
 
-const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+pub(super) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 const MODEL: HeaderName = HeaderName::from_static("x-model");
 const TOKEN_COUNTS: HeaderName = HeaderName::from_static("x-token-counts");
--- /dev/null
+++ b/tests/platform_answers.rs
@@ -0,0 +1,241 @@
+//! Engines that send a copy of an earlier answer where the next one on a connection is
+//! due.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use goldcrestpitch::{
+    core::residency::{EngineOrder, Operation, OrderAnswer, OrderError},
+    engine_agent::{self, EngineAgentConfig},
+    fakes::{FakeLog, LogFaults},
+    gossip::{Body, ChangeKind, Hello, ResidencyChange, Socket},
+    http,
+    platform::{CONFIGURATION, EngineClient, Store},
+};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+/// Status and body of an answer.
+type Answer = (u16, Vec<u8>);
+
+/// What a server answers to a request, which is given as text with its number.
+type Script = Box<dyn Fn(&str, usize) -> Answer + Send + Sync>;
+
+/// Whether a copy of the last answer on a connection precedes the answer to a request.
+type Copies = fn(&str) -> bool;
+
+struct Server {
+    address: SocketAddr,
+    state: Arc<ServerState>,
+}
+
+struct ServerState {
+    script: Script,
+    copies: Copies,
+    // Whether answers bear the ids of their requests.
+    repeats_ids: bool,
+    requests: AtomicUsize,
+    connections: AtomicUsize,
+}
+
+impl Server {
+    async fn start(copies: Copies, repeats_ids: bool, script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (requests, connections) = (AtomicUsize::new(0), AtomicUsize::new(0));
+        let state = ServerState { script, copies, repeats_ids, requests, connections };
+        let state = Arc::new(state);
+        let task_state = state.clone();
+        tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                task_state.connections.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(serve(socket, task_state.clone()));
+            }
+        });
+        Self { address, state }
+    }
+
+    /// Number of connections accepted so far.
+    fn connections(&self) -> usize {
+        self.state.connections.load(Ordering::SeqCst)
+    }
+}
+
+async fn serve(mut socket: TcpStream, state: Arc<ServerState>) {
+    let mut last_answer = None;
+    while let Some(request) = read_request(&mut socket).await {
+        let (status, body) =
+            (state.script)(&request, state.requests.fetch_add(1, Ordering::SeqCst));
+        let id = header(&request, "x-request-id").filter(|_| state.repeats_ids);
+        let id = id.map(|id| format!("x-request-id: {id}\r\n")).unwrap_or_default();
+        let head = format!("HTTP/1.1 {status} -\r\n{id}content-length: {}\r\n\r\n", body.len());
+        let answer = [head.as_bytes(), &body].concat();
+        let copy = last_answer.replace(answer.clone()).filter(|_| (state.copies)(&request));
+        let bytes = [copy.unwrap_or_default(), answer].concat();
+        if socket.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Reads a request with its body; none at the end of the connection.
+async fn read_request(socket: &mut TcpStream) -> Option<String> {
+    let mut buf = Vec::new();
+    loop {
+        if socket.read_buf(&mut buf).await.ok()? == 0 {
+            return None;
+        }
+        let text = String::from_utf8_lossy(&buf).into_owned();
+        let Some((_, body)) = text.split_once("\r\n\r\n") else { continue };
+        let length = header(&text, "content-length").map_or(0, |v| v.parse().unwrap());
+        if body.len() == length {
+            return Some(text);
+        }
+    }
+}
+
+fn header<'a>(request: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = request.lines().filter_map(|line| line.split_once(": "));
+    lines.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value)
+}
+
+/// Runs a test on a single-threaded runtime and fails it if it hangs.
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let result = runtime.block_on(async { time::timeout(Duration::from_secs(20), test).await });
+    assert!(result.is_ok(), "the test timed out");
+}
+
+fn order() -> EngineOrder {
+    EngineOrder {
+        endpoint: None,
+        operation: Operation::Load,
+        model: "m".into(),
+        adapter: None,
+        expected: 0,
+        fence: 7,
+    }
+}
+
+/// A load that was carried out counted as refused, and one that was refused as accepted.
+#[test]
+fn copy_of_an_answer_is_not_taken_for_that_to_the_next_order() {
+    const STATUSES: [u16; 8] = [202, 409, 202, 421, 412, 202, 409, 202];
+    run(async {
+        for repeats_ids in [true, false] {
+            let script = Box::new(|_: &str, i: usize| (STATUSES[i], Vec::new()));
+            let server = Server::start(|_| true, repeats_ids, script).await;
+            let client = EngineClient::new(server.address, "side-1");
+            let mut wrong = Vec::new();
+            for status in STATUSES {
+                let expected = match status {
+                    409 => OrderAnswer::Conflict,
+                    412 => OrderAnswer::Fenced,
+                    421 => OrderAnswer::OtherEndpoint,
+                    _ => OrderAnswer::Accepted,
+                };
+                match client.order(&order()).await {
+                    Ok(answer) if answer == expected => {}
+                    Err(OrderError::Unknown(_)) if repeats_ids => {}
+                    answer => wrong.push((status, answer)),
+                }
+            }
+            assert!(wrong.is_empty(), "repeats_ids={repeats_ids}: {wrong:?}");
+        }
+    });
+}
+
+/// New connections to engines have a price.
+#[test]
+fn connections_are_kept_while_the_engine_repeats_ids() {
+    run(async {
+        for (repeats_ids, connections) in [(true, 1), (false, 5)] {
+            let script = |_: &str, _| (200, Vec::new());
+            let server = Server::start(|_| false, repeats_ids, Box::new(script)).await;
+            let client = EngineClient::new(server.address, "side-1");
+            for _ in 0..5 {
+                assert_eq!(client.order(&order()).await, Ok(OrderAnswer::Accepted));
+            }
+            assert_eq!(server.connections(), connections, "repeats_ids={repeats_ids}");
+        }
+    });
+}
+
+/// The load of the second model is refused, after a copy of the answer to the first. The agent
+/// waited for that load from then on.
+#[test]
+fn copy_of_an_accepted_order_does_not_end_all_further_loads() {
+    run(async {
+        let loaded = Arc::new(Mutex::new(Vec::new()));
+        let orders = AtomicUsize::new(0);
+        let models = loaded.clone();
+        let script = move |request: &str, _| {
+            let mut models = models.lock().unwrap();
+            if request.starts_with("POST") {
+                if orders.fetch_add(1, Ordering::SeqCst) == 1 {
+                    return (409, Vec::new());
+                }
+                let (_, body) = request.split_once("\r\n\r\n").unwrap();
+                let order: serde_json::Value = serde_json::from_str(body).unwrap();
+                models.push(order["Model"].as_str().unwrap().to_owned());
+                return (202, Vec::new());
+            }
+            let list: Vec<_> = models
+                .iter()
+                .map(|name| json!({ "Name": name, "Version": 1, "Adapters": [] }))
+                .collect();
+            (200, json!({ "Models": list, "Seq": list.len() }).to_string().into_bytes())
+        };
+        let is_order: Copies = |request| request.starts_with("POST");
+        let engine = Server::start(is_order, true, Box::new(script)).await;
+
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store = listener.local_addr().unwrap();
+        let (_stop, stopped) = http::stop_channel();
+        tokio::spawn(FakeLog::new(LogFaults::default(), 3).serve(listener, stopped));
+        let model = |name| json!({ "Name": name, "WeightsMb": 40.0, "LoadS": 1.0 });
+        let configuration = json!({
+            "Version": 1, "Routes": [],
+            "Services": [{ "Name": "llm", "MaxConns": 10, "Engine": {
+                "Slots": 8, "KvCapacity": 1000, "WeightsMb": 100.0, "AdapterSlots": 2,
+                "LoadsPerS": 1.0, "Models": [model("m"), model("n")],
+            }}],
+        });
+        let text = configuration.to_string();
+        Store::new(store).put(CONFIGURATION, "config", text.as_bytes()).await.unwrap();
+
+        let socket = Socket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let agent_address = socket.local_address().unwrap();
+        let config = EngineAgentConfig {
+            name: "side-1".into(),
+            service: "llm".into(),
+            engine: engine.address,
+            store,
+            admits: false,
+        };
+        let agent = engine_agent::start(config, socket);
+        let gateway = Socket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        while loaded.lock().unwrap().len() < 2 {
+            let load = |model: &str| ResidencyChange {
+                kind: ChangeKind::Load.into(),
+                model: model.into(),
+                adapter: String::new(),
+            };
+            let changes = vec![load("m"), load("n")];
+            let hello = Hello { serving: true, is_planner: true, changes, ..Hello::default() };
+            gateway.send(agent_address, Body::Hello(hello));
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        agent.stop();
+    });
+}
