A copy of a report is not taken for the next report

An agent could order, plan admission and inform gateways by a report from before its last order: `Seq`, residency, load and start of the engine were those of an earlier read. The engine's own check of `Expected` then refused the next order (409).

Cause: as for orders, the reads share a kept connection and a report bears nothing that tells which read it answers.

Evidence, before the fix, the engine sending a copy before each report, (reports sent before the read, `Seq` that was read): `repeats_ids=true: [(1, Ok(0)), (3, Ok(2)), (5, Ok(4)), (7, Ok(6))]`.

The fix: reads of the report use `SerialClient`, on a connection of their own. A read whose answer is another's is repeated at once on a new connection within the same time limit; otherwise the agent would call its engine lost for one round and send the full status to all gateways.

--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -2,8 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use hyper::{HeaderMap, Method, header};
 use serde::{Deserialize, Serialize};
+use tokio::time;
 
 use crate::{
     core::{
@@ -128,7 +130,7 @@
 /// Client of one engine.
 #[derive(Debug)]
 pub struct EngineClient {
-    reports: Client,
+    reports: SerialClient,
     // On a connection of its own, so that reports do not wait for the answer to an order.
     orders: SerialClient,
     holder: String,
@@ -137,7 +139,7 @@
 impl EngineClient {
     /// Creates a client of the engine at an address. `holder` names the sender in orders.
     pub fn new(address: SocketAddr, holder: &str) -> Self {
-        let reports = Client::new(address);
+        let reports = SerialClient::new(address, REQUEST_ID, holder);
         let orders = SerialClient::new(address, REQUEST_ID, holder);
         Self { reports, orders, holder: holder.to_owned() }
     }
@@ -147,8 +149,21 @@
     /// # Errors
     /// [`DecodeError`] if no report is received or it cannot be decoded.
     pub async fn report(&self) -> Result<EngineReport, DecodeError> {
-        let report: Result<ReportWire, _> =
-            self.reports.get_json(REPORT_PATH, REPORT_TIMEOUT).await;
+        let read = || {
+            let (headers, body) = (HeaderMap::new(), Bytes::new());
+            self.reports.call(Method::GET, REPORT_PATH, headers, body, REPORT_TIMEOUT)
+        };
+        let reading = async {
+            match read().await {
+                // Without a repeat, the copy of a report would look like the loss of the engine.
+                Err(ClientError::NoResponse(_)) => read().await,
+                result => result,
+            }
+        };
+        let body = time::timeout(REPORT_TIMEOUT, reading).await;
+        let body = body.map_err(|_| DecodeError(format!("no report within {REPORT_TIMEOUT:?}")))?;
+        let body = body.map_err(|err| DecodeError(err.to_string()))?;
+        let report: Result<ReportWire, _> = serde_json::from_slice(&body);
         report.map(EngineReport::from).map_err(|err| DecodeError(err.to_string()))
     }
 
--- a/tests/platform_answers.rs
+++ b/tests/platform_answers.rs
@@ -65,6 +65,11 @@
         Self { address, state }
     }
 
+    /// Number of requests received so far.
+    fn requests(&self) -> usize {
+        self.state.requests.load(Ordering::SeqCst)
+    }
+
     /// Number of connections accepted so far.
     fn connections(&self) -> usize {
         self.state.connections.load(Ordering::SeqCst)
@@ -155,15 +160,40 @@
     });
 }
 
+/// An agent ordered by a report from before its last order.
+#[test]
+fn copy_of_a_report_is_not_taken_for_the_next_report() {
+    run(async {
+        for repeats_ids in [true, false] {
+            let script = |_: &str, i: usize| {
+                (200, json!({ "Models": [], "Busy": false, "Seq": i }).to_string().into_bytes())
+            };
+            let server = Server::start(|_| true, repeats_ids, Box::new(script)).await;
+            let client = EngineClient::new(server.address, "side-1");
+            let mut wrong = Vec::new();
+            for _ in 0..8 {
+                let requests = server.requests() as u64;
+                match client.report().await {
+                    Ok(report) if requests <= report.order_seq => {}
+                    report => wrong.push((requests, report.map(|r| r.order_seq))),
+                }
+            }
+            assert!(wrong.is_empty(), "repeats_ids={repeats_ids}: {wrong:?}");
+        }
+    });
+}
+
 /// New connections to engines have a price.
 #[test]
 fn connections_are_kept_while_the_engine_repeats_ids() {
     run(async {
-        for (repeats_ids, connections) in [(true, 1), (false, 5)] {
-            let script = |_: &str, _| (200, Vec::new());
+        for (repeats_ids, connections) in [(true, 2), (false, 10)] {
+            let report = json!({ "Models": [], "Seq": 0 }).to_string().into_bytes();
+            let script = move |_: &str, _| (200, report.clone());
             let server = Server::start(|_| false, repeats_ids, Box::new(script)).await;
             let client = EngineClient::new(server.address, "side-1");
             for _ in 0..5 {
+                client.report().await.unwrap();
                 assert_eq!(client.order(&order()).await, Ok(OrderAnswer::Accepted));
             }
             assert_eq!(server.connections(), connections, "repeats_ids={repeats_ids}");
