An append to the store takes no position from the answer to an earlier call

If the store did send a copy of an earlier answer, an agent that starts again could take the position of an earlier record, and an append that was carried out could count as refused (a copied 429 or 503). Positions are fencing tokens of engines' orders and, in the product's own log, the offsets of claims.

Cause: appends share kept connections with reads, and the store's answers have no ids.

Evidence, before the fix, the store sending a copy before each answer (offsets given out: 0, 1, 2, 3): `left: [Ok(0), Ok(0), Ok(2), Ok(2)]`, `right: [Ok(0), Ok(1), Ok(2), Ok(3)]`.

The fix: each append has a connection of its own, on which no other call is sent, so that no other call can have caused its answer. Appends are rare: one at an agent's start, one for each saved suspect, claims in batches. Reads keep their connections.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -56,12 +56,23 @@
 impl Client {
     /// Creates a client of the peer at an address.
     pub fn new(peer: SocketAddr) -> Self {
+        Self::with_idle_connections(peer, usize::MAX)
+    }
+
+    /// Creates a client that opens a connection for each call, so that no answer to an earlier
+    /// call can arrive on it.
+    pub fn without_reuse(peer: SocketAddr) -> Self {
+        Self::with_idle_connections(peer, 0)
+    }
+
+    fn with_idle_connections(peer: SocketAddr, max_idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         let pool = PooledClient::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(max_idle)
             .retry_canceled_requests(false)
             .build(connector);
         Self { peer, pool }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -204,13 +204,15 @@
 /// Client of the store.
 #[derive(Clone, Debug)]
 pub struct Store {
-    client: Client,
+    reads: Client,
+    // The answers of the store do not tell what they answer, and positions are fencing tokens.
+    appends: Client,
 }
 
 impl Store {
     /// Creates a client of the store at an address.
     pub fn new(address: SocketAddr) -> Self {
-        Self { client: Client::new(address) }
+        Self { reads: Client::new(address), appends: Client::without_reuse(address) }
     }
 
     /// Reads the records of a keyed topic from an offset on. If there are none yet, waits
@@ -244,7 +246,7 @@
         let path = format!("/-/log-read?Topic={topic}&part=0&From={from}&WaitMs={wait_ms}");
         let headers = HeaderMap::new();
         let timeout = wait + CALL_TIMEOUT;
-        let call = self.client.call_with_head(Method::GET, &path, headers, Bytes::new(), timeout);
+        let call = self.reads.call_with_head(Method::GET, &path, headers, Bytes::new(), timeout);
         let (era, body) = era_and_body(call.await?)?;
         split_records(era, body)
     }
@@ -260,7 +262,7 @@
         loop {
             let path = format!("/-/log-newest?Topic={topic}&part=0{after}");
             let (headers, body) = (HeaderMap::new(), Bytes::new());
-            let call = self.client.call_with_head(Method::GET, &path, headers, body, CALL_TIMEOUT);
+            let call = self.reads.call_with_head(Method::GET, &path, headers, body, CALL_TIMEOUT);
             let (era, body) = era_and_body(call.await?)?;
             let page: Result<NewestPageWire, _> = serde_json::from_slice(&body);
             let page = page.map_err(|err| StoreError::Malformed(err.to_string()))?;
@@ -302,7 +304,7 @@
         let path = format!("/-/log-append?Topic={}&part=0", percent_encode(topic));
         let headers = HeaderMap::new();
         let body = body.freeze();
-        let call = self.client.call_with_head(Method::POST, &path, headers, body, CALL_TIMEOUT);
+        let call = self.appends.call_with_head(Method::POST, &path, headers, body, CALL_TIMEOUT);
         let (era, body) = era_and_body(call.await?)?;
         let reply: Result<AppendWire, _> = serde_json::from_slice(&body);
         let reply = reply.map_err(|err| StoreError::Malformed(err.to_string()))?;
--- a/tests/platform_answers.rs
+++ b/tests/platform_answers.rs
@@ -1,4 +1,4 @@
-//! Engines that send a copy of an earlier answer where the next one on a connection is
+//! Engines and stores that send a copy of an earlier answer where the next one on a connection is
 //! due.
 
 use std::{
@@ -16,7 +16,7 @@
     fakes::{FakeLog, LogFaults},
     gossip::{Body, ChangeKind, Hello, ResidencyChange, Socket},
     http,
-    platform::{CONFIGURATION, EngineClient, Store},
+    platform::{CONFIGURATION, EngineClient, STATUS, Store},
 };
 use serde_json::json;
 use tokio::{
@@ -269,3 +269,20 @@
         agent.stop();
     });
 }
+
+/// Positions are fencing tokens and sequence numbers.
+#[test]
+fn copy_of_an_answer_gives_no_earlier_position_to_an_append() {
+    run(async {
+        let script = |_: &str, i: usize| {
+            (200, json!({ "Offset": i, "End": i + 1 }).to_string().into_bytes())
+        };
+        let server = Server::start(|_| true, false, Box::new(script)).await;
+        let store = Store::new(server.address);
+        let mut offsets = Vec::new();
+        for _ in 0..4 {
+            offsets.push(store.put(STATUS, "side-1", b"{}").await.map(|p| p.offset));
+        }
+        assert_eq!(offsets, [Ok(0), Ok(1), Ok(2), Ok(3)]);
+    });
+}
