The copy of a page does not advance a reader of the store

A reader that took the copy of an earlier page for the next one advanced by its records and never read those that were appended there: a configuration, a registration or a saved suspect would be missed until the next one, or until the store comes back from an older copy.

Cause: a page does not name its first offset, and the reader adds the number of records to the offset that it asked for.

Evidence, before the fix, two records and a copy before each answer (`next` after four reads): `left: 4`, `right: 2`.

The fix: a page whose records would end beyond the end that it names is an error, and the same offset is read again. Every copy of a page that went up to the end is found. Not found: the copy of a page that was cut short by its size (1 MB), since it names a later end; that would take a connection for each read, and gateways read the store more than once per second.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -248,7 +248,15 @@
         let timeout = wait + CALL_TIMEOUT;
         let call = self.reads.call_with_head(Method::GET, &path, headers, Bytes::new(), timeout);
         let (era, body) = era_and_body(call.await?)?;
-        split_records(era, body)
+        let page = split_records(era, body)?;
+        let (end, count) = (page.end, page.records.len() as u64);
+        if 0 < count && end < from + count {
+            // That is the page of another read.
+            return Err(StoreError::Malformed(format!(
+                "{count} records from offset {from} on end at {end}"
+            )));
+        }
+        Ok(page)
     }
 
     /// Reads the newest record of each key of a topic.
--- a/tests/platform_answers.rs
+++ b/tests/platform_answers.rs
@@ -286,3 +286,30 @@
         assert_eq!(offsets, [Ok(0), Ok(1), Ok(2), Ok(3)]);
     });
 }
+
+/// The reader advanced by the records of the copy and missed those that were appended next.
+#[test]
+fn copy_of_a_page_does_not_advance_the_reader() {
+    run(async {
+        let script = |request: &str, _| {
+            let mut page = 2_u64.to_be_bytes().to_vec();
+            page.extend(0_u64.to_be_bytes());
+            if request.contains("From=0") {
+                for _ in 0..2 {
+                    page.extend(3_u32.to_be_bytes());
+                    page.extend(b"\x01kv");
+                }
+            }
+            (200, page)
+        };
+        let server = Server::start(|_| true, false, Box::new(script)).await;
+        let store = Store::new(server.address);
+        let mut next = 0;
+        for _ in 0..4 {
+            if let Ok(page) = store.read_keyed(STATUS, next, Duration::ZERO).await {
+                next = page.next.offset;
+            }
+        }
+        assert_eq!(next, 2);
+    });
+}
