The client of engines uses the connection history of the gateway

SerialClient decided by its own count and match whether an answer can be another request's; that rule stands in ConnectionHistory, which also bounds the requests of a connection. No behaviour changes but that bound.

--- a/src/http/serial_client.rs
+++ b/src/http/serial_client.rs
@@ -20,7 +20,7 @@
 use tokio::{net::TcpStream, sync::Mutex, task::AbortHandle, time};
 
 use crate::{
-    core::correlation::ResponseId,
+    core::correlation::{ConnectionHistory, ResponseId},
     http::{
         ClientError,
         client::{CONNECT_TIMEOUT, IDLE_TIMEOUT, MAX_RESPONSE_BYTES},
@@ -54,7 +54,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
-    requests: u64,
+    history: ConnectionHistory,
     last_used: Instant,
 }
 
@@ -79,16 +79,21 @@
             let _ = connection.await;
         });
         let (driver, last_used) = (driver.abort_handle(), Instant::now());
-        Ok(Self { sender, driver, requests: 0, last_used })
+        Ok(Self { sender, driver, history: ConnectionHistory::default(), last_used })
     }
 
     /// Whether another request can be sent.
     async fn is_usable(&mut self) -> bool {
-        self.last_used.elapsed() < IDLE_TIMEOUT && self.sender.ready().await.is_ok()
+        let is_open = !self.history.is_full() && self.last_used.elapsed() < IDLE_TIMEOUT;
+        is_open && self.sender.ready().await.is_ok()
     }
 
-    async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<Response<Incoming>, ClientError> {
-        self.requests += 1;
+    async fn send(
+        &mut self,
+        id: &HeaderValue,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, ClientError> {
+        self.history.record(id.as_bytes());
         let response = self.sender.send_request(req).await;
         response.map_err(|err| ClientError::NoResponse(err.to_string()))
     }
@@ -150,17 +155,12 @@
             Some(connection) => connection,
             None => Connection::open(self.peer).await?,
         };
-        let (head, body) = connection.send(req).await?.into_parts();
+        let (head, body) = connection.send(id, req).await?.into_parts();
         let found = head.headers.get(&self.id_header).map(HeaderValue::as_bytes);
         let response_id = ResponseId::new(found, id.as_bytes());
         counter!(names::RESPONSES, "id" => response_id.as_str()).increment(1);
-        let counts = match response_id {
-            ResponseId::Own => true,
-            ResponseId::Missing => connection.requests == 1,
-            ResponseId::Other => false,
-        };
-        if !counts {
-            let (status, number) = (head.status, connection.requests);
+        if !connection.history.correlates(response_id) {
+            let (status, number) = (head.status, connection.history.requests());
             return Err(ClientError::NoResponse(format!(
                 "answer {status} to request {number} of a connection, id {}",
                 response_id.as_str()
