Each call of a backend has a connection of its own

Callers could get the response to another request, or their request with an idempotency key could run twice: completions, service calls, orders and reports shared kept connections, and responses bear no id. A copy of an earlier refusal that arrives where the next response is due is `BackendError::Refused`, which the agent records as "not run"; the entry then may run the request again while the first run goes on. A copy of an order's result confirmed an order that was not carried out. By reading only: an earlier report could have a resource loaded again that was unloaded since, beyond the engine's memory, or count a crash that did not happen.

`Client::without_reuse` keeps no idle connections, so a response can only be that to the one request that was sent on its connection. Reports too, for the reasons above. The backend is on the same VM. The price in connections and latency was not measured.

--- a/src/agent/http_backend.rs
+++ b/src/agent/http_backend.rs
@@ -28,16 +28,17 @@
     pub order: Order,
 }
 
-/// Client of a backend over HTTP.
+/// Client of a backend over HTTP. Each call has a connection of its own, since responses do not name
+/// the call that they are for.
 #[derive(Clone, Debug)]
 pub struct HttpBackend {
     client: Client,
 }
 
 impl HttpBackend {
-    /// Creates a client of the backend at an address. It connects on the first call.
+    /// Creates a client of the backend at an address.
     pub fn new(address: SocketAddr) -> Self {
-        Self { client: Client::new(address) }
+        Self { client: Client::without_reuse(address) }
     }
 }
 
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,4 +1,4 @@
-//! An HTTP client that reuses connections and limits the time of each call.
+//! An HTTP client that can reuse connections and limits the time of each call.
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
@@ -43,7 +43,7 @@
 
 impl std::error::Error for ClientError {}
 
-/// A client of one peer. Clones share its connections.
+/// A client of one peer. Clones share its idle connections.
 #[derive(Clone, Debug)]
 pub struct Client {
     peer: SocketAddr,
@@ -53,12 +53,23 @@
 impl Client {
     /// Creates a client of the peer at an address.
     pub fn new(peer: SocketAddr) -> Self {
+        Self::with_idle_connections(peer, usize::MAX)
+    }
+
+    /// Creates a client that opens a connection for each request, so that a response cannot be that
+    /// to an earlier request.
+    pub fn without_reuse(peer: SocketAddr) -> Self {
+        Self::with_idle_connections(peer, 0)
+    }
+
+    fn with_idle_connections(peer: SocketAddr, max_idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         let pool = PooledClient::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(Duration::from_secs(30))
+            .pool_max_idle_per_host(max_idle)
             .retry_canceled_requests(false)
             .build(connector);
         Self { peer, pool }
