A completion that fails with 500 may have run

A completion with an idempotency key whose backend failed while it ran could run again, and its caller could be told `not_run`: any status other than 2xx was `BackendError::Refused`, also 500, 502 and 504, and the agent then records the attempt as "not run".

Orders are classified in the same way; any order without a result is sent again under a new token, as before.

--- a/src/agent/http_backend.rs
+++ b/src/agent/http_backend.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::{HeaderMap, Method, body::Incoming, header};
+use hyper::{HeaderMap, Method, StatusCode, body::Incoming, header};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -46,7 +46,7 @@
     fn from(err: ClientError) -> Self {
         match err {
             ClientError::NotSent(text) => Self::NotSent(text),
-            ClientError::Status(..) => Self::Refused(err.to_string()),
+            ClientError::Status(status, _) => Self::from_status(status, err.to_string()),
             ClientError::NoResponse(_) | ClientError::Malformed(_) => {
                 Self::Interrupted(err.to_string())
             }
@@ -54,6 +54,17 @@
     }
 }
 
+impl BackendError {
+    /// The error for a status other than 2xx. Only statuses that rule out that the backend has begun
+    /// to run the call are refusals.
+    fn from_status(status: StatusCode, text: String) -> Self {
+        match status.as_u16() {
+            400 | 401 | 403 | 404 | 405 | 413 | 415 | 421 | 422 | 429 | 503 => Self::Refused(text),
+            _ => Self::Interrupted(text),
+        }
+    }
+}
+
 /// Tokens of a completion that arrive as server-sent events.
 #[derive(Debug)]
 pub struct HttpTokens {
@@ -136,7 +147,7 @@
         if reply.status().is_success() {
             return Ok(HttpTokens { body: reply.into_body(), parser: SseParser::default() });
         }
-        Err(BackendError::Refused(format!("HTTP status {}", reply.status())))
+        Err(BackendError::from_status(reply.status(), format!("HTTP status {}", reply.status())))
     }
 
     async fn call(&self, path: &str, body: Bytes) -> Result<ServiceReply, BackendError> {
--- a/tests/backend.rs
+++ b/tests/backend.rs
@@ -160,3 +160,25 @@
         assert_eq!(backend.report().await, Ok(report(2)));
     });
 }
+
+/// Guards against a request that runs twice because it failed while it ran and counts as not run.
+#[test]
+fn only_statuses_that_rule_out_a_run_count_as_refusals() {
+    run(async {
+        let refusals =
+            ["400", "401", "403", "404", "405", "413", "415", "421", "422", "429", "503"];
+        let others = ["500", "502", "504", "507", "520", "302", "408", "409", "410", "424", "499"];
+        for status in refusals.iter().chain(&others) {
+            let response = response(&format!("{status} -"), "no");
+            let backend = start_copying(vec![response.clone(), response]).await;
+            let completion = complete(&backend).await.unwrap_err();
+            let order = send_order(&backend).await.unwrap_err();
+            for err in [completion, order] {
+                let is_refused = matches!(err, BackendError::Refused(_));
+                let is_interrupted = matches!(err, BackendError::Interrupted(_));
+                let expected = (refusals.contains(status), others.contains(status));
+                assert_eq!((is_refused, is_interrupted), expected, "{status}: {err}");
+            }
+        }
+    });
+}
