An agent's answer admits a prompt only for its own question

A prompt is sent to an engine that has no room, where callers of running streams would see pauses (not measured). Answers of engine agents bear only the ticket of the request, which it keeps when it goes on to another agent, and the gateway does not look at the sender. A late answer of the agent that was asked before, which was given up after two unanswered messages, was counted for the question to the next one.

Each question has a random number, sent in the field of the ticket, which agents of this and of earlier versions repeat without reading it. Answers to a question that was given up find no receiver. Random, so that answers to a gateway's earlier process at the same address do not count either. An earlier gateway beside new agents still counts late answers.

--- a/src/engine_agent/admission.rs
+++ b/src/engine_agent/admission.rs
@@ -23,7 +23,7 @@
     /// Answers a gateway that asks for the admission of a prompt.
     pub(super) fn handle_admission(&self, from: SocketAddr, request: &AdmissionRequest) {
         let now = Instant::now();
-        let id: AdmissionId = (from, request.ticket);
+        let id: AdmissionId = (from, request.question);
         let mut state = self.lock();
         if request.withdrawn {
             state.admission.withdraw(id, &request.request);
@@ -52,14 +52,14 @@
         }
     }
 
-    fn answer(&self, (gateway, ticket): AdmissionId, answer: Answer) {
+    fn answer(&self, (gateway, question): AdmissionId, answer: Answer) {
         let label = match answer {
             Answer::Admitted => "admitted",
             Answer::Waits(_) => "waits",
             Answer::Full(_) => "full",
         };
         counter!(names::ADMISSIONS, "answer" => label).increment(1);
-        self.socket.send(gateway, Body::AdmissionAnswer(AdmissionAnswer::new(ticket, answer)));
+        self.socket.send(gateway, Body::AdmissionAnswer(AdmissionAnswer::new(question, answer)));
     }
 }
 
--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -10,7 +10,7 @@
 use tokio::{sync::mpsc, time};
 
 use crate::{
-    core::{admission::Answer, forwarding::Ticket, ids::EndpointId},
+    core::{admission::Answer, ids::EndpointId},
     gateway::{
         request::ProxiedRequest,
         shared::{RequestGuard, SharedState},
@@ -56,7 +56,7 @@
 
 impl Drop for Pending {
     fn drop(&mut self) {
-        self.shared.lock().admission_answers.remove(&self.message.ticket);
+        self.shared.lock().admission_answers.remove(&self.message.question);
         if !self.is_decided {
             self.message.withdrawn = true;
             self.send();
@@ -74,6 +74,8 @@
     ) -> Admission {
         let now = Instant::now();
         let ticket = guard.ticket();
+        // A new number for each question, so that no answer to an earlier one counts.
+        let question = fastrand::u64(..);
         let (tx, mut answers) = mpsc::unbounded_channel();
         let (work, pause) = {
             let mut state = self.shared.lock();
@@ -81,14 +83,14 @@
             let Some(work) = state.dispatcher.prompt_work(ticket).filter(|_| is_asked) else {
                 return Admission::Send;
             };
-            state.admission_answers.insert(ticket, tx);
+            state.admission_answers.insert(question, tx);
             (work, self.route.pause_target)
         };
         let mut pending = Pending {
             shared: self.shared.clone(),
             agent: address,
             message: AdmissionRequest {
-                ticket,
+                question,
                 request: self.id().into_owned(),
                 work,
                 kv_tokens: self.requirements.kv_tokens(),
@@ -152,11 +154,10 @@
     }
 }
 
-/// Passes an agent's answer to the request that waits for it.
+/// Passes an agent's answer to the question that it answers, unless that was given up.
 pub(super) fn receive(shared: &SharedState, message: &AdmissionAnswer) {
     let state = shared.lock();
-    let ticket: Ticket = message.ticket;
-    if let Some(tx) = state.admission_answers.get(&ticket) {
+    if let Some(tx) = state.admission_answers.get(&message.question) {
         // The request may have ended meanwhile.
         let _ = tx.send(message.answer());
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -91,8 +91,8 @@
     pub(super) known_gateways: usize,
     // Where the decision on each waiting request is delivered.
     pending: HashMap<Ticket, oneshot::Sender<EndpointChoice>>,
-    // Where the answers of agents on the admission of prompts are delivered.
-    pub(super) admission_answers: HashMap<Ticket, mpsc::UnboundedSender<Answer>>,
+    // Where the answers of agents on the admission of prompts are delivered, by question.
+    pub(super) admission_answers: HashMap<u64, mpsc::UnboundedSender<Answer>>,
     // Requests for admission that are to be sent, with the address of the engine.
     pub(super) admission_outbox: Vec<(SocketAddr, AdmissionRequest)>,
     store_unavailable: bool,
--- a/src/gossip/admission.rs
+++ b/src/gossip/admission.rs
@@ -7,9 +7,10 @@
 /// From a gateway to an engine agent: asks for the admission of a prompt, or withdraws it.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct AdmissionRequest {
-    /// Identifies the request in the gateway.
+    /// Random number of the question. A question that is sent again keeps its number; the next one of
+    /// the same request has another. Earlier versions send the ticket of the request.
     #[prost(uint64, tag = "1")]
-    pub ticket: u64,
+    pub question: u64,
     /// Request id that the engine will see.
     #[prost(string, tag = "2")]
     pub request: String,
@@ -50,9 +51,9 @@
 /// From an engine agent to a gateway.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct AdmissionAnswer {
-    /// The ticket of the request.
+    /// The number of the question.
     #[prost(uint64, tag = "1")]
-    pub ticket: u64,
+    pub question: u64,
     /// What was decided, an [`AdmissionKind`].
     #[prost(enumeration = "AdmissionKind", tag = "2")]
     pub kind: i32,
@@ -75,13 +76,13 @@
 
 impl AdmissionAnswer {
     /// The message for an answer.
-    pub fn new(ticket: u64, answer: Answer) -> Self {
+    pub fn new(question: u64, answer: Answer) -> Self {
         let (kind, wait) = match answer {
             Answer::Admitted => (AdmissionKind::Admitted, Duration::ZERO),
             Answer::Waits(wait) => (AdmissionKind::Waits, wait),
             Answer::Full(wait) => (AdmissionKind::Full, wait),
         };
-        Self { ticket, kind: kind.into(), wait_ms: wait.as_millis() as u32 }
+        Self { question, kind: kind.into(), wait_ms: wait.as_millis() as u32 }
     }
 
     /// The answer in the message.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! platform's rules. No assertion depends on timing.
 
 mod accounts;
+mod admission_answers;
 mod bootstrap;
 mod config;
 mod copied_answers;
