A late withdrawal does not end a later admission of the same request

Agents found an admitted prompt by its request id alone when a question was withdrawn. A datagram that arrives late withdrew the admission that the request got on a later question at the same agent, and the agent gave its room to another prompt while the first was sent; callers of the engine's streams would see pauses. Found by reading, not seen in a run of processes.

An admission keeps the question that it was last confirmed to, and only the withdrawal of that one ends it.

--- a/src/core/admission/prompt_admission.rs
+++ b/src/core/admission/prompt_admission.rs
@@ -29,7 +29,8 @@
 /// Most prompts that wait.
 const MAX_WAITING: usize = 512;
 
-/// Identifies a request for admission: the gateway and its ticket.
+/// Identifies a question: the gateway and the number of the question. A request that asks again after
+/// its question was given up has another one.
 pub type AdmissionId = (SocketAddr, u64);
 
 /// A prompt that a gateway has for the engine.
@@ -62,6 +63,7 @@
 
 #[derive(Clone, Debug)]
 struct Admitted {
+    id: AdmissionId,
     at: Instant,
     work: u32,
     kv_tokens: u64,
@@ -141,9 +143,10 @@
         self.unknown_kv = reported.values().map(|r| r.tokens).sum();
     }
 
-    /// Asks for the admission of a prompt. Asking again for the same one changes nothing.
+    /// Asks for the admission of a prompt. Asking the same question again changes nothing.
     pub fn ask(&mut self, now: Instant, id: AdmissionId, ask: Ask) -> Answer {
-        if self.admitted.contains_key(&ask.request) {
+        if let Some(admitted) = self.admitted.get_mut(&ask.request) {
+            admitted.id = id;
             return Answer::Admitted;
         }
         let known = self.waiting.iter().find(|(_, (known, _))| *known == id);
@@ -157,7 +160,7 @@
         let is_first = self.waiting.keys().next().is_none_or(|first| key <= *first);
         if is_first && self.room(now, &ask).is_zero() {
             self.waiting.remove(&key);
-            self.admit(now, &ask);
+            self.admit(now, id, &ask);
             return Answer::Admitted;
         }
         let wait = self.wait(now, key, &ask);
@@ -169,10 +172,11 @@
         Answer::Waits(wait)
     }
 
-    /// Withdraws a prompt that waits, or one that was admitted and was not sent.
+    /// Withdraws a prompt that waits, or one that was admitted and was not sent, unless the request has
+    /// asked another question since.
     pub fn withdraw(&mut self, id: AdmissionId, request: &str) {
         self.waiting.retain(|_, (waiting, _)| *waiting != id);
-        if let Some(admitted) = self.admitted.get(request).filter(|a| !a.seen) {
+        if let Some(admitted) = self.admitted.get(request).filter(|a| a.id == id && !a.seen) {
             let sent = (admitted.at, admitted.work);
             self.recent.retain(|recent| *recent != sent);
             self.admitted.remove(request);
@@ -202,7 +206,7 @@
         {
             let (key, id, ask) = (*key, *id, ask.clone());
             self.waiting.remove(&key);
-            self.admit(now, &ask);
+            self.admit(now, id, &ask);
             taken.push(id);
         }
         taken
@@ -230,11 +234,12 @@
         self.pace.slowdown()
     }
 
-    fn admit(&mut self, now: Instant, ask: &Ask) {
+    fn admit(&mut self, now: Instant, id: AdmissionId, ask: &Ask) {
         self.window = self.window.max(ask.pause);
         self.recent.retain(|(at, _)| now < *at + self.window);
         self.recent.push_back((now, ask.work));
         let admitted = Admitted {
+            id,
             at: now,
             work: ask.work,
             kv_tokens: ask.kv_tokens,
--- a/tests/engine_admission.rs
+++ b/tests/engine_admission.rs
@@ -173,6 +173,25 @@
     assert_eq!(admission.ask(later, (gateway(3), 3), ask(later, "c", 500, 0)), Answer::Admitted);
 }
 
+/// Guards against prompts beyond the engine's room: the withdrawal of a question arrives after the
+/// same request was admitted on a later one.
+#[test]
+fn late_withdrawal_does_not_withdraw_a_later_question_of_the_request() {
+    let now = Instant::now();
+    let mut admission = PromptAdmission::default();
+    admission.configure(1, 4, 0);
+    assert_eq!(admission.ask(now, (gateway(1), 1), ask(now, "a", 500, 0)), Answer::Admitted);
+    assert_eq!(admission.ask(now, (gateway(1), 2), ask(now, "a", 500, 0)), Answer::Admitted);
+    admission.withdraw((gateway(1), 1), "a");
+    assert!(matches!(admission.ask(now, (gateway(2), 3), ask(now, "b", 500, 0)), Answer::Waits(_)));
+    // The same while the questions wait.
+    assert!(matches!(admission.ask(now, (gateway(2), 4), ask(now, "b", 500, 0)), Answer::Waits(_)));
+    admission.withdraw((gateway(2), 3), "b");
+    assert_eq!(admission.waiting(), 1);
+    admission.withdraw((gateway(1), 2), "a");
+    assert_eq!(admission.take_admitted(now), [(gateway(2), 4)]);
+}
+
 /// Guards against requests that wait at an engine that cannot take them in time, while another
 /// one has room.
 #[test]
