--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,4 +1,4 @@
-//! An HTTP client that reuses connections and limits the time of each call.
+//! An HTTP client that can reuse connections and limits the time of each call.
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
@@ -46,7 +46,7 @@
 
 impl std::error::Error for ClientError {}
 
-/// A client of one peer. Clones share its connections.
+/// A client of one peer. Clones share its idle connections.
 #[derive(Clone, Debug)]
 pub struct Client {
     peer: SocketAddr,
