Failing tests: random schedules of refusals, restarts and copies of answers

Change: four endpoints of two services refuse a third of the requests, break off before, within and after requests, start again, and send copies of any earlier answer of the connection, sometimes without its id. A second scenario lets callers use ids again; a third leaves the id out of copies of any answer, not only of refusals.

--- a/tests/gateway/explained.rs
+++ b/tests/gateway/explained.rs
@@ -38,7 +38,8 @@
     fn flush(&self) {}
 }
 
-fn install_capture_logger() {
+/// Keeps the log lines of all gateways of this process.
+pub fn install_capture_logger() {
     START.call_once(|| {
         log::set_logger(&CaptureLogger).unwrap();
         log::set_max_level(log::LevelFilter::Info);
@@ -57,7 +58,7 @@
 }
 
 /// The log lines of the request with the id `id`.
-fn lines_for_request(id: &str) -> Vec<String> {
+pub fn lines_for_request(id: &str) -> Vec<String> {
     let wanted = format!(" id={id} ");
     LINES.lock().unwrap().iter().filter(|l| l.contains(&wanted)).cloned().collect()
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,9 +2,11 @@
 //! platform's rules. No assertion depends on timing.
 
 mod accounts;
+mod answer_schedules;
 mod bootstrap;
 mod config;
 mod copied_answers;
+mod copying_endpoint;
 mod crashing_callers;
 mod crashing_requests;
 mod crashing_segments;
--- a/tests/gateway/scripted_endpoint.rs
+++ b/tests/gateway/scripted_endpoint.rs
@@ -270,7 +270,8 @@
     }
 }
 
-async fn read_request(socket: &mut TcpStream, buf: &mut Vec<u8>) -> Option<ReceivedRequest> {
+/// Reads one request; `buf` keeps the bytes after it.
+pub async fn read_request(socket: &mut TcpStream, buf: &mut Vec<u8>) -> Option<ReceivedRequest> {
     let head_end = loop {
         if let Some(at) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
             break at + 4;
--- a/tests/gateway/test_gateway.rs
+++ b/tests/gateway/test_gateway.rs
@@ -25,6 +25,13 @@
 
 pub const HOST: &str = "a.example";
 
+pub const BOUNDS: Bounds = Bounds {
+    retry_ratio: 0.2,
+    retry_window: Duration::from_secs(10),
+    retry_slack: 4.0,
+    grace: Duration::from_secs(4),
+};
+
 /// A running gateway and its store.
 pub struct TestGateway {
     /// The log, with an access of its own for this gateway.
@@ -113,6 +120,17 @@
         peer: SocketAddr,
         seeds: Vec<IpAddr>,
         accounts: AccountSettings,
+    ) -> Self {
+        Self::start_with_bounds(log, peer, seeds, accounts, BOUNDS).await
+    }
+
+    /// Like [`Self::start_with_accounts`], with bounds on retries.
+    pub async fn start_with_bounds(
+        log: FakeLog,
+        peer: SocketAddr,
+        seeds: Vec<IpAddr>,
+        accounts: AccountSettings,
+        bounds: Bounds,
     ) -> Self {
         let (stop, stopped) = http::stop_channel();
         let operator_address = serve_log(&log.with_own_access(), &stopped).await;
@@ -130,12 +148,7 @@
             store: address,
             seeds,
             first_start: true,
-            bounds: Bounds {
-                retry_ratio: 0.2,
-                retry_window: Duration::from_secs(10),
-                retry_slack: 4.0,
-                grace: Duration::from_secs(4),
-            },
+            bounds,
             accounts,
             limits: ProcessLimits::default(),
         };
