--- a/tests/gateway/answer_schedules.rs
+++ b/tests/gateway/answer_schedules.rs
@@ -345,21 +345,18 @@
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn copies_of_answers_are_not_counted_for_other_requests() {
     let without_id = CopiesWithoutId::Refusals;
     check_schedules(Scenario { name: "c", without_id, repeats_ids: false });
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn copies_of_answers_are_not_counted_for_later_requests_with_the_same_id() {
     let without_id = CopiesWithoutId::Refusals;
     check_schedules(Scenario { name: "r", without_id, repeats_ids: true });
 }
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn answers_without_an_id_are_not_counted_for_other_requests() {
     let without_id = CopiesWithoutId::All;
     check_schedules(Scenario { name: "w", without_id, repeats_ids: false });
