--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,4 +1,4 @@
-//! An HTTP client that reuses connections and limits the time of each call.
+//! An HTTP client that can reuse connections and limits the time of each call.
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
@@ -12,15 +12,18 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::time;
 
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+pub(super) const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an idle connection is kept.
+pub(super) const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Why a request has no usable response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ClientError {
     /// The request was not sent: its path was invalid or no connection could be made.
     NotSent(String),
-    /// The connection failed or the request timed out; it may have been executed.
+    /// The connection failed, the request timed out, or the response may be that to another
+    /// request; it may have been executed.
     NoResponse(String),
     /// The peer responded with a status other than 2xx.
     Status(StatusCode, Bytes),
@@ -43,7 +46,7 @@
 
 impl std::error::Error for ClientError {}
 
-/// A client of one peer. Clones share its connections.
+/// A client of one peer. Clones share its idle connections.
 #[derive(Clone, Debug)]
 pub struct Client {
     peer: SocketAddr,
@@ -53,12 +56,23 @@
 impl Client {
     /// Creates a client of the peer at an address.
     pub fn new(peer: SocketAddr) -> Self {
+        Self::with_idle_connections(peer, usize::MAX)
+    }
+
+    /// Creates a client that opens a connection for each call, so that no answer to an earlier
+    /// call can arrive on it.
+    pub fn without_reuse(peer: SocketAddr) -> Self {
+        Self::with_idle_connections(peer, 0)
+    }
+
+    fn with_idle_connections(peer: SocketAddr, max_idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         let pool = PooledClient::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(Duration::from_secs(30))
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(max_idle)
             .retry_canceled_requests(false)
             .build(connector);
         Self { peer, pool }
