--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,9 +3,11 @@
 
 mod accounts;
 mod admission_answers;
+mod answer_schedules;
 mod bootstrap;
 mod config;
 mod copied_answers;
+mod copying_endpoint;
 mod crashing_callers;
 mod crashing_requests;
 mod crashing_segments;
