A request without an id does not fail on a used connection

Cause: such a request could get any kept connection, and its answer, which has no id either, is not believed on a used one. Change: a request without an id is accepted by an unused connection only. Test added; the test of endpoints that repeat no ids now counts their connections too.

--- a/src/core/correlation/connection_history.rs
+++ b/src/core/correlation/connection_history.rs
@@ -5,7 +5,8 @@
 /// Requests that are sent on one connection, which bounds the memory for their ids (8 bytes each).
 const MAX_REQUESTS: usize = 1000;
 
-/// The ids of the requests that were sent on one connection, as hashes.
+/// The ids of the requests that were sent on one connection, as hashes. An endpoint may repeat a
+/// response, but only on the connection of its request.
 #[derive(Clone, Debug, Default)]
 pub struct ConnectionHistory {
     sent: Vec<u64>,
@@ -34,7 +35,20 @@
     /// assert!(!history.accepts(b"q1"));
     /// assert!(history.accepts(b"q2"));
     /// ```
+    ///
+    /// The response to a request without an id has none either, so such a request must be the first.
+    ///
+    /// ```
+    /// use goldcrestpitch::core::correlation::ConnectionHistory;
+    /// let mut history = ConnectionHistory::default();
+    /// assert!(history.accepts(b""));
+    /// history.record(b"q1");
+    /// assert!(!history.accepts(b""));
+    /// ```
     pub fn accepts(&self, id: &[u8]) -> bool {
+        if id.is_empty() {
+            return self.sent.is_empty();
+        }
         !self.is_full() && self.sends(id) == 0
     }
 
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -115,7 +115,9 @@
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         if !self.history.accepts(id) {
-            return Err(SendError::NotSent("it was sent on this connection before".to_owned()));
+            return Err(SendError::NotSent(
+                "the connection does not accept it: sent before, or too many requests".to_owned(),
+            ));
         }
         if let Err(err) = self.sender.ready().await {
             return Err(SendError::NotSent(err.to_string()));
@@ -176,11 +178,12 @@
             .push(IdleConnection { connection, expires_at });
     }
 
-    /// Closes connections that the endpoint has closed or is about to close.
+    /// Closes connections that the endpoint has closed or is about to close, and those on which the
+    /// body of an answered request is still unsent.
     pub(super) fn close_expired(&self) {
         let now = Instant::now();
         self.lock().retain(|_, connections| {
-            connections.retain(|i| now < i.expires_at && !i.connection.sender.is_closed());
+            connections.retain(|i| now < i.expires_at && i.connection.sender.is_ready());
             !connections.is_empty()
         });
     }
--- a/tests/gateway/copied_answers.rs
+++ b/tests/gateway/copied_answers.rs
@@ -8,8 +8,9 @@
 use crate::{
     run,
     scripted_endpoint::{ReceivedRequest, ScriptedEndpoint, Step, http_response, response_head},
-    test_gateway::TestGateway,
+    test_gateway::{HOST, TestGateway, read_response},
 };
+use tokio::io::AsyncWriteExt;
 
 /// What an endpoint received and ran.
 #[derive(Debug, Default)]
@@ -162,5 +163,32 @@
             let response = gateway.send("POST", "/book/1", &header, "").await;
             assert_eq!((response.status, response.text().as_str()), (200, "fine"));
         }
+        assert_eq!(endpoint.connections(), 3);
+    });
+}
+
+/// Its answer has no id either, and would not be believed on a used connection.
+#[test]
+fn request_without_an_id_does_not_fail_on_a_used_connection() {
+    run(async {
+        let endpoint = ScriptedEndpoint::start(|request| match request.id() {
+            "" => {
+                let head =
+                    "HTTP/1.1 200 OK\r\nx-response-signature: s\r\ncontent-length: 4\r\n\r\nfine";
+                vec![Step::Send(head.as_bytes().to_vec())]
+            }
+            id => http_response("200 OK", id, "fine"),
+        })
+        .await;
+        let gateway = TestGateway::start(&[&endpoint]).await;
+        let mut statuses = Vec::new();
+        for path in ["/book/1", "/read/1"] {
+            statuses.push(gateway.send("POST", "/book/0", "", "").await.status);
+            let text = format!("POST {path} HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: 0\r\n\r\n");
+            let mut socket = gateway.connect().await;
+            socket.write_all(text.as_bytes()).await.unwrap();
+            statuses.push(read_response(&mut socket, &mut Vec::new()).await.status);
+        }
+        assert_eq!(statuses, [200; 4]);
     });
 }
