A response head that consists of two is not believed

Cause: an endpoint that sends a part of an earlier refusal, cut within its reason phrase or a header, and then the answer that is due, sends what the parser takes for one head: the status and X-Not-Executed of the refusal, the id of the request that runs. Evidence: copied_answers::cut_copy_of_a_refusal_does_not_run_a_request_twice failed with (503, 2 runs) for (502, 1). Change: a head with a status line inside a header value or the reason phrase, or with differing ids, is no proof: the request may have run. Result: the test passes.

--- a/src/gateway/outbound.rs
+++ b/src/gateway/outbound.rs
@@ -77,6 +77,9 @@
             self.exchange(&endpoint, address, last_event.as_deref()).await?;
         let head = platform::parse_response_head(response.status(), response.headers(), &self.id);
         self.log_response(&endpoint, &connection, response.status(), &head);
+        if platform::is_merged_head(&response) {
+            return Err(AttemptError::MayHaveRun("the response head consists of two".to_owned()));
+        }
         if !connection.history().correlates(head.id) {
             let text = match head.id {
                 ResponseId::Missing => "the response has no id and may belong to another request",
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -9,6 +9,7 @@
 mod engine;
 mod headers;
 mod log;
+mod merged_head;
 mod registration;
 mod store;
 
@@ -21,6 +22,7 @@
     response_headers, resumed_attempt,
 };
 pub use headers::{NotRunReason, READY_PATH};
+pub use merged_head::is_merged_head;
 pub use registration::decode_registration;
 pub use store::{
     CONFIGURATION, KeyedRecord, NewestRecords, Position, QUARANTINE, REGISTRATIONS, ReadPage,
--- a/tests/gateway/copied_answers.rs
+++ b/tests/gateway/copied_answers.rs
@@ -192,3 +192,38 @@
         assert_eq!(statuses, [200; 4]);
     });
 }
+
+/// The copy was cut short, so that its head and that of the answer look like one.
+#[test]
+fn cut_copy_of_a_refusal_does_not_run_a_request_twice() {
+    run(async {
+        for cut in [
+            "HTTP/1.1 421 Misdir",
+            "HTTP/1.1 503 Busy\r\nx-not-executed: 1",
+            "HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\nretry-after: 1",
+            "HTTP/1.1 503 Busy\r\nx-not-executed: 1\r\nx-request-id: q1\r\nserver: ",
+        ] {
+            let seen = Shared::default();
+            let script = |seen: Shared| {
+                move |request: &ReceivedRequest| {
+                    let id = request.id().to_owned();
+                    let mut seen = seen.lock().unwrap();
+                    *seen.runs.entry(id.clone()).or_default() += 1;
+                    let answer = http_response("200 OK", &id, "fine");
+                    match id.as_str() {
+                        "q1" => answer,
+                        _ => [vec![Step::Send(cut.as_bytes().to_vec())], answer].concat(),
+                    }
+                }
+            };
+            let endpoints = [
+                ScriptedEndpoint::start(script(seen.clone())).await,
+                ScriptedEndpoint::start(script(seen.clone())).await,
+            ];
+            let gateway = TestGateway::start(&endpoints.each_ref()).await;
+            gateway.send("POST", "/book/1", "", "").await;
+            let response = gateway.send("POST", "/book/1", "x-request-id: q2\r\n", "").await;
+            assert_eq!((response.status, runs(&seen, "q2")), (502, 1), "{cut:?}");
+        }
+    });
+}
