Orders for adapters keep their connection where the engine repeats no ids

Change: a connection for each order of models, whose answers decide on memory; for adapters an answer without an id is believed on a kept connection, one with another id is not. What that leaves open, as before this incident: the copy of an answer counts for the next order of an adapter, and an adapter whose unload was refused may count as being unloaded.

--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -131,18 +131,23 @@
 #[derive(Debug)]
 pub struct EngineClient {
     reports: SerialClient,
-    // On a connection of its own, so that reports do not wait for the answer to an order.
-    orders: SerialClient,
+    // On connections of their own, so that reports do not wait for the answer to an order.
+    model_orders: SerialClient,
+    adapter_orders: SerialClient,
     holder: String,
 }
 
 impl EngineClient {
     /// Creates a client of the engine at an address. `holder` names the sender in orders.
     pub fn new(address: SocketAddr, holder: &str) -> Self {
-        // Reports are read many times a second, and the next one corrects a mistake.
-        let reports = SerialClient::new(address, REQUEST_ID, holder, MissingIds::Trusted);
-        let orders = SerialClient::new(address, REQUEST_ID, holder, MissingIds::Distrusted);
-        Self { reports, orders, holder: holder.to_owned() }
+        let client = |missing_ids| SerialClient::new(address, REQUEST_ID, holder, missing_ids);
+        Self {
+            // Reports and orders for adapters are frequent, and the next report corrects most mistakes.
+            reports: client(MissingIds::Trusted),
+            adapter_orders: client(MissingIds::Trusted),
+            model_orders: client(MissingIds::Distrusted),
+            holder: holder.to_owned(),
+        }
     }
 
     /// Reads the engine's report.
@@ -194,7 +199,11 @@
             let id = id.map_err(|err| OrderError::NotSent(err.to_string()))?;
             headers.insert(EXPECTED_ENDPOINT, id);
         }
-        let call = self.orders.call(Method::POST, ORDER_PATH, headers, body.into(), ORDER_TIMEOUT);
+        let client = match order.adapter {
+            Some(_) => &self.adapter_orders,
+            None => &self.model_orders,
+        };
+        let call = client.call(Method::POST, ORDER_PATH, headers, body.into(), ORDER_TIMEOUT);
         match call.await {
             Ok(_) => Ok(OrderAnswer::Accepted),
             Err(ClientError::Status(status, _)) => Ok(match status.as_u16() {
