--- a/tests/gateway/copied_answers.rs
+++ b/tests/gateway/copied_answers.rs
@@ -5,12 +5,13 @@
     sync::{Arc, Mutex},
 };
 
+use tokio::io::AsyncWriteExt;
+
 use crate::{
     run,
     scripted_endpoint::{ReceivedRequest, ScriptedEndpoint, Step, http_response, response_head},
     test_gateway::{HOST, TestGateway, read_response},
 };
-use tokio::io::AsyncWriteExt;
 
 /// What an endpoint received and ran.
 #[derive(Debug, Default)]
