--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -559,3 +559,20 @@
 pub fn address(ip: &str, port: u16) -> SocketAddr {
     format!("{ip}:{port}").parse().unwrap()
 }
+
+/// The settings of an engine agent, as the platform renders `deploy/engine-agent.ini`.
+pub fn agent_settings(
+    name: &str,
+    service: &str,
+    ip: &str,
+    app: u16,
+    ports: Ports,
+    store: SocketAddr,
+) -> String {
+    let Ports { control, peers, .. } = ports;
+    format!(
+        "[engine_agent]\nname = {name}\nservice = {service}\nengine = {ip}:{app}\n\
+         peer_listen = {ip}:{peers}\nadmin_listen = {ip}:{control}\nadmits = true\n\n\
+         [store]\naddress = {store}\n"
+    )
+}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,8 +1,10 @@
 //! Plays the cases of this review that are scripts: `standins CASE FOLDER`. `TROUBLE=0` in the
 //! environment leaves the disruption out.
 
+mod blamed_prompt;
 mod common;
 mod late_read;
+mod model_engine;
 
 use std::{env, process::exit};
 
@@ -21,6 +23,7 @@
     };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
+        "blamed-prompt" => blamed_prompt::play(folder, trouble),
         "late-read" => late_read::play(folder, trouble),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
     };
