Review case 8: a crash of all engines refuses a request for good that many send

One event counts three crashes against a request that runs on each engine, and whole requests have no trial.

--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -336,6 +336,7 @@
     // Milliseconds of the record at which the store accepted that it is gone.
     pub gone_at: AtomicU64,
     sequence: AtomicU64,
+    streams: Mutex<Vec<TcpStream>>,
 }
 
 impl Engine {
@@ -360,9 +361,13 @@
             arrivals: AtomicU64::new(0),
             gone_at: AtomicU64::new(u64::MAX),
             sequence: AtomicU64::new(0),
+            streams: Mutex::default(),
         });
         let (server, record) = (engine.clone(), recorder.clone());
         serve(address, engine.stopped.clone(), move |stream| {
+            if let Ok(copy) = stream.try_clone() {
+                server.streams.lock().unwrap().push(copy);
+            }
             let _ = server.serve_connection(stream, &record);
         });
         let (beating, store) = (engine.clone(), store.clone());
@@ -375,6 +380,22 @@
         engine
     }
 
+    /// Ends the process at once: all connections break, and new ones are refused. The entry is
+    /// removed after three heartbeats of silence.
+    pub fn crash(&self, store: &Arc<Store>, recorder: &Recorder) {
+        self.stopped.store(true, Ordering::Relaxed);
+        self.registers.store(false, Ordering::Relaxed);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        recorder.note(&format!("engine={} crashes", self.id));
+        let (store, id) = (store.clone(), self.id.clone());
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(3600));
+            store.append("keyed.servers", &id, b"");
+        });
+    }
+
     fn register(&self, store: &Store) {
         if !self.registers.load(Ordering::Relaxed) || store.is_silent() {
             return;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! Plays the cases of this review that are scripts: `standins CASE FOLDER`. `TROUBLE=0` in the
 //! environment leaves the disruption out.
 
+mod blamed_poll;
 mod blamed_prompt;
 mod common;
 mod late_read;
@@ -23,6 +24,7 @@
     };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
+        "blamed-poll" => blamed_poll::play(folder, trouble),
         "blamed-prompt" => blamed_prompt::play(folder, trouble),
         "late-read" => late_read::play(folder, trouble),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
