Review case 9: gateways that do not meet spend the retry allowance several times

At the first start with a seed that is down, each gateway counts only itself and the seed. Not tried with model engines, whose agents let the gateways meet.

--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -331,6 +331,8 @@
     pub born: u64,
     pub work: Duration,
     pub registers: AtomicBool,
+    // Requests in a hundred that it fails.
+    pub fails: AtomicU64,
     pub stopped: Arc<AtomicBool>,
     pub arrivals: AtomicU64,
     // Milliseconds of the record at which the store accepted that it is gone.
@@ -357,6 +359,7 @@
             born: unix_ms(),
             work,
             registers: AtomicBool::new(true),
+            fails: AtomicU64::new(0),
             stopped: Arc::default(),
             arrivals: AtomicU64::new(0),
             gone_at: AtomicU64::new(u64::MAX),
@@ -445,7 +448,13 @@
                 ("X-Response-Signature", &*signature),
                 ("Keep-Alive", "timeout=5"),
             ];
-            write_response(&mut writer, "200 OK", &headers, &[b'x'; 800])?;
+            // Spreads the failures evenly over the requests.
+            let number = self.arrivals.load(Ordering::Relaxed);
+            let status = match (number * 37) % 100 < self.fails.load(Ordering::Relaxed) {
+                true => "500 Internal Server Error",
+                false => "200 OK",
+            };
+            write_response(&mut writer, status, &headers, &[b'x'; 800])?;
         }
         Ok(())
     }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod blamed_prompt;
 mod common;
 mod late_read;
+mod lone_gateways;
 mod model_engine;
 
 use std::{env, process::exit};
@@ -26,6 +27,7 @@
     let outcome = match case.as_str() {
         "blamed-poll" => blamed_poll::play(folder, trouble),
         "blamed-prompt" => blamed_prompt::play(folder, trouble),
+        "lone-gateways" => lone_gateways::play(folder, trouble),
         "late-read" => late_read::play(folder, trouble),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
     };
