--- a/review/standins-2/blamed_prompt.rs
+++ b/review/standins-2/blamed_prompt.rs
@@ -156,7 +156,7 @@
     let crash_after = env::var("CRASH_AFTER_MS").ok().and_then(|ms| ms.parse().ok());
     recorder.sleep_until(back + crash_after.unwrap_or(CRASH_AFTER_MS));
     if trouble {
-        engines.iter().for_each(|engine| engine.crash());
+        engines.iter().for_each(|engine| engine.crash(&store));
         thread::sleep(Duration::from_millis(ENGINES_DOWN_MS));
         lives.extend((0..ENGINES).map(|engine| start_engine(engine, 1)));
     } else {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -4,6 +4,7 @@
 mod blamed_poll;
 mod blamed_prompt;
 mod common;
+mod late_order;
 mod late_read;
 mod lone_gateways;
 mod model_engine;
@@ -28,6 +29,7 @@
         "blamed-poll" => blamed_poll::play(folder, trouble),
         "blamed-prompt" => blamed_prompt::play(folder, trouble),
         "lone-gateways" => lone_gateways::play(folder, trouble),
+        "late-order" => late_order::play(folder, trouble),
         "late-read" => late_read::play(folder, trouble),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
     };
--- a/review/standins-2/model_engine.rs
+++ b/review/standins-2/model_engine.rs
@@ -21,16 +21,71 @@
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 const EVENTS: u64 = 40;
 const KV_TOTAL: u64 = 157_677;
+const WEIGHTS_MB: u64 = 83_000;
+const MODEL_MB: u64 = 34_300;
+const ADAPTER_MB: u64 = 40;
 
 /// What the engine has of one model.
 struct State {
     models: Vec<String>,
+    adapters: Vec<(String, String)>,
+    over_memory: bool,
     busy_until: Option<(Instant, String)>,
     sequence: u64,
     // Request id, tokens and events of each run.
     runs: BTreeMap<String, (u64, u64)>,
 }
 
+/// Orders that get no answer and are carried out late.
+pub struct LateOrders {
+    by: Duration,
+    // The model whose next load is taken.
+    next: Mutex<Option<String>>,
+    taken: Mutex<Option<(Instant, Message)>>,
+    has_taken: AtomicBool,
+}
+
+impl LateOrders {
+    pub fn new(by: Duration) -> Self {
+        Self {
+            by,
+            next: Mutex::default(),
+            taken: Mutex::default(),
+            has_taken: AtomicBool::new(false),
+        }
+    }
+
+    pub fn take_next_load(&self, model: &str) {
+        *self.next.lock().unwrap() = Some(model.to_owned());
+    }
+
+    pub fn has_taken(&self) -> bool {
+        self.has_taken.load(Ordering::Relaxed)
+    }
+
+    /// Whether this order gets no answer now.
+    fn takes(&self, request: &Message) -> bool {
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        let mut next = self.next.lock().unwrap();
+        let Some(model) = next.as_ref() else { return false };
+        let is_load = body.contains("\"load\"") && body.contains(&format!("\"{model}\""));
+        if !is_load || body.contains("Adapter") {
+            return false;
+        }
+        *next = None;
+        *self.taken.lock().unwrap() = Some((Instant::now(), request.clone()));
+        self.has_taken.store(true, Ordering::Relaxed);
+        true
+    }
+
+    /// The order that is to be carried out now.
+    fn due(&self) -> Option<Message> {
+        let mut taken = self.taken.lock().unwrap();
+        let is_due = taken.as_ref().is_some_and(|(at, _)| *at + self.by <= Instant::now());
+        taken.take_if(|_| is_due).map(|(_, message)| message)
+    }
+}
+
 /// One lifetime of a model engine.
 pub struct ModelEngine {
     pub id: String,
@@ -45,6 +100,7 @@
     stopped: Arc<AtomicBool>,
     streams: Mutex<Vec<TcpStream>>,
     beats: AtomicU64,
+    late: Mutex<Option<Arc<LateOrders>>>,
     recorder: Arc<Recorder>,
 }
 
@@ -64,6 +120,8 @@
         let own = |names: &[&str]| names.iter().map(|n| n.to_string()).collect::<Vec<_>>();
         let state = State {
             models: own(loaded),
+            adapters: Vec::new(),
+            over_memory: false,
             busy_until: None,
             sequence: 0,
             runs: BTreeMap::new(),
@@ -80,6 +138,7 @@
             stopped: Arc::default(),
             streams: Mutex::default(),
             beats: AtomicU64::new(0),
+            late: Mutex::default(),
             recorder: recorder.clone(),
         });
         recorder.note(&format!("engine={id} starts at={address}"));
@@ -96,19 +155,47 @@
                 store.append("keyed.servers", &beating.id, beating.entry().as_bytes());
                 thread::sleep(HEARTBEAT);
             }
-            thread::sleep(LAPSE);
-            store.append("keyed.servers", &beating.id, b"");
         });
         engine
     }
 
+    /// Takes part in orders that are carried out late.
+    pub fn carries_out(self: &Arc<Self>, late: &Arc<LateOrders>) {
+        *self.late.lock().unwrap() = Some(late.clone());
+        let (engine, late) = (self.clone(), late.clone());
+        thread::spawn(move || {
+            while !engine.has_stopped() {
+                if let Some(order) = late.due() {
+                    let status = engine.order(&order);
+                    let body = String::from_utf8_lossy(&order.body).into_owned();
+                    let text = format!("late order engine={} {body}: {status}", engine.id);
+                    engine.recorder.note(&text);
+                }
+                thread::sleep(Duration::from_millis(10));
+            }
+        });
+    }
+
+    pub fn is_over_memory(&self) -> bool {
+        self.state.lock().unwrap().over_memory
+    }
+
+    pub fn loaded(&self) -> Vec<String> {
+        self.state.lock().unwrap().models.clone()
+    }
+
     /// Ends the process at once: all connections break, and new ones are refused.
-    pub fn crash(&self) {
+    pub fn crash(&self, store: &Arc<Store>) {
         self.stopped.store(true, Ordering::Relaxed);
         for stream in self.streams.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
         self.recorder.note(&format!("engine={} crashes", self.id));
+        let (store, id) = (store.clone(), self.id.clone());
+        thread::spawn(move || {
+            thread::sleep(LAPSE);
+            store.append("keyed.servers", &id, b"");
+        });
     }
 
     fn has_stopped(&self) -> bool {
@@ -118,7 +205,11 @@
     fn models_json(state: &State) -> String {
         let models = state.models.iter();
         let models: Vec<String> = models
-            .map(|m| format!("{{\"Name\":\"{m}\",\"Version\":1,\"Adapters\":[]}}"))
+            .map(|m| {
+                let own = state.adapters.iter().filter(|(model, _)| model == m);
+                let own: Vec<String> = own.map(|(_, a)| format!("\"{a}\"")).collect();
+                format!("{{\"Name\":\"{m}\",\"Version\":1,\"Adapters\":[{}]}}", own.join(","))
+            })
             .collect();
         models.join(",")
     }
@@ -184,12 +275,40 @@
         if state.busy_until.is_some() || expected.is_some_and(|e| e != state.sequence) {
             return "409 Conflict";
         }
-        self.recorder.note(&format!("order engine={} {opcode} {model}", self.id));
+        let adapter = text("Adapter");
+        self.recorder.note(&format!(
+            "order engine={} {opcode} {model} adapter={adapter:?} expected={expected:?}",
+            self.id
+        ));
+        if let Some(adapter) = adapter {
+            // Adapters load within milliseconds.
+            let item = (model, adapter);
+            state.adapters.retain(|known| *known != item);
+            if opcode == "load" {
+                state.adapters.push(item);
+            }
+            state.sequence += 1;
+            return "202 Accepted";
+        }
         let is_loaded = state.models.contains(&model);
         match (opcode.as_str(), is_loaded) {
             ("load", true) | ("unload", false) => return "200 OK",
-            ("load", false) => state.busy_until = Some((Instant::now() + self.load_time, model)),
-            _ => state.models.retain(|m| *m != model),
+            ("load", false) => {
+                let after = (state.models.len() as u64 + 1) * MODEL_MB
+                    + state.adapters.len() as u64 * ADAPTER_MB;
+                if WEIGHTS_MB < after {
+                    state.over_memory = true;
+                    self.recorder.note(&format!(
+                        "engine={} is ordered to load {after} MB of {WEIGHTS_MB}, and crashes",
+                        self.id
+                    ));
+                }
+                state.busy_until = Some((Instant::now() + self.load_time, model));
+            }
+            _ => {
+                state.adapters.retain(|(m, _)| *m != model);
+                state.models.retain(|m| *m != model);
+            }
         }
         state.sequence += 1;
         "202 Accepted"
@@ -216,6 +335,11 @@
                 "/-/report" => {
                     write_response(&mut writer, "200 OK", &own_id, self.report().as_bytes())?;
                 }
+                "/-/order" if self.late.lock().unwrap().as_ref().is_some_and(|l| l.takes(&request)) => {
+                    self.recorder.note(&format!("order engine={} gets no answer", self.id));
+                    // Nothing further comes on this connection.
+                    return crate::common::hold(reader);
+                }
                 "/-/order" => {
                     let status = self.order(&request);
                     write_response(&mut writer, status, &own_id, b"{}")?;
@@ -225,7 +349,12 @@
                     let is_loaded = {
                         let mut state = self.state.lock().unwrap();
                         state.settle();
-                        state.models.contains(&model)
+                        match model.split_once('/') {
+                            None => state.models.contains(&model),
+                            Some((model, adapter)) => state
+                                .adapters
+                                .contains(&(model.to_owned(), adapter.to_owned())),
+                        }
                     };
                     if !is_loaded {
                         write_response(&mut writer, "421 Misdirected Request", &not_executed, b"")?;
