--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,9 +1,9 @@
 //! Plays the cases of this review that are scripts: `standins CASE FOLDER`. `TROUBLE=0` in the
 //! environment leaves the disruption out.
 
-mod blamed_poll;
 mod blamed_prompt;
 mod common;
+mod large_status;
 mod late_order;
 mod late_read;
 mod lone_gateways;
@@ -26,9 +26,9 @@
     };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
-        "blamed-poll" => blamed_poll::play(folder, trouble),
         "blamed-prompt" => blamed_prompt::play(folder, trouble),
         "lone-gateways" => lone_gateways::play(folder, trouble),
+        "large-status" => large_status::play(folder, trouble),
         "late-order" => late_order::play(folder, trouble),
         "late-read" => late_read::play(folder, trouble),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
