--- a/review/standins-2/blamed_prompt.rs
+++ b/review/standins-2/blamed_prompt.rs
@@ -60,8 +60,6 @@
 #[derive(Default)]
 struct Seen {
     requests: Mutex<Vec<(u64, bool)>>,
-    // When a client last got the whole answer.
-    last_served: AtomicU64,
     refused: AtomicU64,
 }
 
@@ -192,13 +190,7 @@
     if served * 4 < sent { Outcome::Broken } else { Outcome::Held }
 }
 
-fn run_client(
-    client: usize,
-    front: u16,
-    ends: &AtomicBool,
-    seen: &Seen,
-    recorder: &Recorder,
-) {
+fn run_client(client: usize, front: u16, ends: &AtomicBool, seen: &Seen, recorder: &Recorder) {
     let ip = GATEWAYS[client % GATEWAYS.len()].2;
     let mut connection = ClientConnection::new(address(ip, front));
     thread::sleep(Duration::from_millis(25 * client as u64));
@@ -224,7 +216,6 @@
             Ok(answer) => {
                 let served = answer.status() == 200;
                 if served {
-                    seen.last_served.store(recorder.ms(), Ordering::Relaxed);
                     pause = 200;
                 } else {
                     seen.refused.fetch_add(1, Ordering::Relaxed);
@@ -232,10 +223,14 @@
                     pause = after.map_or(pause, |s| (s * 1e3) as u64).clamp(300, 4000);
                 }
                 seen.requests.lock().unwrap().push((sent_at, served));
-                format!("{} {}", answer.status(), String::from_utf8_lossy(match served {
-                    true => b"",
-                    false => &answer.body,
-                }))
+                format!(
+                    "{} {}",
+                    answer.status(),
+                    String::from_utf8_lossy(match served {
+                        true => b"",
+                        false => &answer.body,
+                    })
+                )
             }
             Err(err) => {
                 seen.requests.lock().unwrap().push((sent_at, false));
--- a/review/standins-2/late_order.rs
+++ b/review/standins-2/late_order.rs
@@ -1,7 +1,13 @@
 //! LIMIT: an order without an answer is carried out late, after the VM of the engine has lost power:
 //! the agent has forgotten the order, and the engine has the same id and the same count again.
 
-use std::{env, fs, sync::Arc, sync::atomic::{AtomicBool, AtomicUsize, Ordering}, thread, time::Duration};
+use std::{
+    env, fs,
+    sync::Arc,
+    sync::atomic::{AtomicBool, AtomicUsize, Ordering},
+    thread,
+    time::Duration,
+};
 
 use crate::{
     Outcome,
--- a/review/standins-2/late_read.rs
+++ b/review/standins-2/late_read.rs
@@ -36,8 +36,7 @@
     ("edge-augsburg-a-1", "augsburg-a", "127.0.71.5"),
 ];
 const CLIENTS_PER_GATEWAY: usize = 4;
-/// Pause of a client between two requests: 28 requests a second in all on the users' sheet; the
-/// 20 clients here send some more.
+/// Pause of a client between two requests: the 20 clients send about 90 requests a second.
 const PAUSE: Duration = Duration::from_millis(200);
 
 const CONFIG: &str = r#"{"Version":7,"Routes":[
@@ -71,8 +70,7 @@
     let seeds = ["127.0.71.1", "127.0.71.3", "127.0.71.5"];
     let mut gateways: Vec<Process> = Vec::new();
     for (name, zone, ip) in GATEWAYS {
-        let settings =
-            gateway_settings(name, zone, ip, gateway_ports, &seeds, store_at, true);
+        let settings = gateway_settings(name, zone, ip, gateway_ports, &seeds, store_at, true);
         gateways.push(Process::start("gateway", name, &logs, &settings));
         thread::sleep(Duration::from_millis(50));
     }
@@ -107,12 +105,15 @@
                          X-Request-Id: {id}\r\nX-Deadline-Ms: 3000\r\n\r\n"
                     );
                     let answer = connection.call(&request, Duration::from_secs(3));
-                    let text = answer.map_or_else(|err| err.to_string(), |a| {
-                        if a.status() == 200 {
-                            served.fetch_add(1, Ordering::Relaxed);
-                        }
-                        a.status().to_string()
-                    });
+                    let text = answer.map_or_else(
+                        |err| err.to_string(),
+                        |a| {
+                            if a.status() == 200 {
+                                served.fetch_add(1, Ordering::Relaxed);
+                            }
+                            a.status().to_string()
+                        },
+                    );
                     recorder.note(&format!("answer id={id} {text}"));
                     thread::sleep(PAUSE);
                 }
@@ -127,9 +128,7 @@
         store.silent.store(false, Ordering::Relaxed);
         recorder.note("store answers again");
     }
-    recorder.sleep_until(
-        begin + OUTAGE_AT_MS + OUTAGE_MS + STABLE_WINDOW_MS + LEAVES_AFTER_MS,
-    );
+    recorder.sleep_until(begin + OUTAGE_AT_MS + OUTAGE_MS + STABLE_WINDOW_MS + LEAVES_AFTER_MS);
     let leaving = &engines[1];
     leaving.remove_entry(&store, &recorder);
     let gone_at = leaving.gone_at.load(Ordering::Relaxed);
--- a/review/standins-2/model_engine.rs
+++ b/review/standins-2/model_engine.rs
@@ -335,7 +335,9 @@
                 "/-/report" => {
                     write_response(&mut writer, "200 OK", &own_id, self.report().as_bytes())?;
                 }
-                "/-/order" if self.late.lock().unwrap().as_ref().is_some_and(|l| l.takes(&request)) => {
+                "/-/order"
+                    if self.late.lock().unwrap().as_ref().is_some_and(|l| l.takes(&request)) =>
+                {
                     self.recorder.note(&format!("order engine={} gets no answer", self.id));
                     // Nothing further comes on this connection.
                     return crate::common::hold(reader);
@@ -351,9 +353,9 @@
                         state.settle();
                         match model.split_once('/') {
                             None => state.models.contains(&model),
-                            Some((model, adapter)) => state
-                                .adapters
-                                .contains(&(model.to_owned(), adapter.to_owned())),
+                            Some((model, adapter)) => {
+                                state.adapters.contains(&(model.to_owned(), adapter.to_owned()))
+                            }
                         }
                     };
                     if !is_loaded {
