--- a/src/fleet/topic.rs
+++ b/src/fleet/topic.rs
@@ -46,6 +46,7 @@
     let mut failures = 0;
     let mut last_answer = Instant::now();
     loop {
+        let sent_at = Instant::now();
         match reader.read().await {
             Ok(()) => {
                 if 0 < failures {
@@ -69,8 +70,10 @@
                 failures += 1;
                 if failures == 1 {
                     let silent_ms = last_answer.elapsed().as_millis();
+                    let sent_ms_ago = sent_at.elapsed().as_millis();
                     info!(
-                        "event=read_failed topic={} silent_ms={silent_ms} next={} error=\"{err}\"",
+                        "event=read_failed topic={} silent_ms={silent_ms} \
+                         sent_ms_ago={sent_ms_ago} next={} error=\"{err}\"",
                         T::TOPIC,
                         reader.position()
                     );
