--- a/src/core/forwarding/endpoints.rs
+++ b/src/core/forwarding/endpoints.rs
@@ -90,8 +90,8 @@
 pub struct Endpoint {
     /// The latest registration.
     pub registration: Registration,
-    // Set while the registration has lapsed but the endpoint may still be alive.
-    grace_until: Option<Instant>,
+    // The registration is gone, but the endpoint may still be alive.
+    lapsed: bool,
     // Reported by the agent of the endpoint; cleared when the agent falls silent.
     agent_residency: Option<Residency>,
     // When it was last unreachable, until a later registration.
@@ -134,10 +134,6 @@
     }
 }
 
-/// How long an endpoint whose registration lapsed during a store outage may take to
-/// register again. The platform guarantees two seconds.
-pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2000);
-
 /// How much later than an endpoint was unreachable a registration is read that must have been
 /// written after that.
 const REGISTRATION_DELAY: Duration = Duration::from_millis(1500);
@@ -182,7 +178,7 @@
     pub fn apply(&mut self, now: Instant, change: Change, after_outage: bool) -> bool {
         match change {
             Change::Registered(registration) => self.register(now, registration),
-            Change::Removed(id) => self.remove(now, &id, after_outage),
+            Change::Removed(id) => self.remove(&id, after_outage),
         }
     }
 
@@ -191,32 +187,29 @@
         let missing: Vec<EndpointId> =
             self.all.keys().filter(|id| all.iter().all(|r| r.id != **id)).cloned().collect();
         for id in missing {
-            self.remove(now, &id, after_outage);
+            self.remove(&id, after_outage);
         }
         for registration in all {
             self.register(now, registration);
         }
     }
 
-    /// Removes endpoints whose lapsed registration was not renewed in time and returns
-    /// their ids.
-    pub fn expire(&mut self, now: Instant) -> Vec<EndpointId> {
-        let is_expired = |e: &Endpoint| e.grace_until.is_some_and(|until| until <= now);
-        let expired: Vec<EndpointId> =
-            self.all.iter().filter(|(_, e)| is_expired(e)).map(|(id, _)| id.clone()).collect();
-        for id in &expired {
-            self.all.remove(id);
+    /// Removes endpoints whose lapsed registration was not renewed and returns their ids, unless
+    /// a live endpoint may still be about to renew it, `after_outage`.
+    pub fn expire(&mut self, after_outage: bool) -> Vec<EndpointId> {
+        if after_outage {
+            return Vec::new();
         }
+        let mut expired = Vec::new();
+        self.all.retain(|id, endpoint| {
+            if endpoint.lapsed {
+                expired.push(id.clone());
+            }
+            !endpoint.lapsed
+        });
         expired
     }
 
-    /// Extends the grace of lapsed registrations to `until`, after another store outage.
-    pub fn extend_grace(&mut self, until: Instant) {
-        for endpoint in self.all.values_mut() {
-            endpoint.grace_until = endpoint.grace_until.map(|at| at.max(until));
-        }
-    }
-
     /// Looks up an endpoint by id.
     pub fn get(&self, id: &str) -> Option<&Endpoint> {
         self.all.get(id)
@@ -320,12 +313,8 @@
             None => {}
         }
         let Some(known) = self.all.get_mut(&registration.id) else {
-            let endpoint = Endpoint {
-                registration,
-                grace_until: None,
-                agent_residency: None,
-                doubted_at: None,
-            };
+            let endpoint =
+                Endpoint { registration, lapsed: false, agent_residency: None, doubted_at: None };
             self.all.insert(endpoint.registration.id.clone(), endpoint);
             return true;
         };
@@ -352,17 +341,17 @@
         known.doubted_at =
             known.doubted_at.filter(|at| same_process && now < *at + REGISTRATION_DELAY);
         known.registration = registration;
-        known.grace_until = None;
+        known.lapsed = false;
         changed
     }
 
-    fn remove(&mut self, now: Instant, id: &str, after_outage: bool) -> bool {
+    fn remove(&mut self, id: &str, after_outage: bool) -> bool {
         let Some(endpoint) = self.all.get_mut(id) else { return false };
         let draining = endpoint.registration.state == EndpointState::Draining;
         if !after_outage || draining {
             return self.all.remove(id).is_some();
         }
-        endpoint.grace_until.get_or_insert(now + REREGISTRATION_GRACE);
+        endpoint.lapsed = true;
         false
     }
 }
--- a/src/core/forwarding/mod.rs
+++ b/src/core/forwarding/mod.rs
@@ -17,6 +17,7 @@
 mod retry_share;
 mod routes;
 mod selection;
+mod store_outage;
 mod subset;
 mod time_limit;
 mod version_gap;
@@ -26,8 +27,7 @@
 pub use decision::{Decision, ModelRef, RefusalReason, WantedAdapter};
 pub use dispatcher::{Dispatcher, Ticket};
 pub use endpoints::{
-    Change, Endpoint, EndpointRegistry, EndpointState, LoadedModel, REREGISTRATION_GRACE,
-    Registration, Residency,
+    Change, Endpoint, EndpointRegistry, EndpointState, LoadedModel, Registration, Residency,
 };
 pub use event_splitter::{EventSplitter, StreamError};
 pub use kept_prompts::{ChainKey, EngineHash, KeptPrompts, KeptSegment, ReportedSegment, chain};
@@ -45,6 +45,7 @@
 };
 pub use selection::Locality;
 pub(crate) use selection::PREFILL_TOKENS_PER_MS;
+pub use store_outage::StoreOutage;
 pub use subset::EndpointSubset;
 pub use time_limit::TimeLimit;
 pub use version_gap::VersionGap;
--- a/src/fleet/topic.rs
+++ b/src/fleet/topic.rs
@@ -33,8 +33,8 @@
     fn update(&mut self, records: Vec<KeyedRecord>, next: Position);
     /// The store answered. Called before the records of that answer are passed on.
     fn store_answered(&mut self) {}
-    /// The store did not answer or rejected the request.
-    fn store_failed(&mut self, _err: &StoreError) {}
+    /// The store did not answer or rejected a read that was sent at this time.
+    fn store_failed(&mut self, _sent_at: Instant, _err: &StoreError) {}
     /// The store has returned from an older copy, in this era: it has lost records. Called before
     /// its newest records are passed on.
     fn store_went_back(&mut self, _era: StoreEra) {}
@@ -78,7 +78,7 @@
                         reader.position()
                     );
                 }
-                reader.handler.store_failed(&err);
+                reader.handler.store_failed(sent_at, &err);
                 counter!(names::STORE_FAILURES).increment(1);
                 time::sleep(backoff(failures)).await;
             }
--- a/src/gateway/bootstrap.rs
+++ b/src/gateway/bootstrap.rs
@@ -2,7 +2,7 @@
 //! is unavailable, and later a configuration that the store does not deliver to it.
 //!
 //! The records are as recent as those that the other gateway itself uses. They are
-//! replaced by the store's own as soon as it answers.
+//! replaced by the store's own as soon as it answers, and not taken over after that.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -116,7 +116,10 @@
     let keyed = |r: CachedRecord| KeyedRecord { key: r.key, value: Some(r.value.into()) };
     let registrations: Vec<KeyedRecord> = records.registrations.into_iter().map(keyed).collect();
     let count = registrations.len();
-    EndpointUpdater::new(shared.clone()).apply(registrations);
+    // An endpoint that the store no longer lists would stay, as its removal was read before.
+    if !shared.lock().knows_registrations {
+        EndpointUpdater::new(shared.clone()).apply(registrations);
+    }
     apply_configuration(shared, other, records.configuration.into());
     if let Some(version) = shared.version() {
         info!("event=known_from_peer at={other} version={version} endpoints={count}");
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -90,8 +90,8 @@
         record_answer(&self.shared, Self::TOPIC);
     }
 
-    fn store_failed(&mut self, err: &StoreError) {
-        record_failure(&self.shared, Self::TOPIC, err);
+    fn store_failed(&mut self, sent_at: Instant, err: &StoreError) {
+        record_failure(&self.shared, Self::TOPIC, sent_at, err);
     }
 
     fn store_went_back(&mut self, era: StoreEra) {
@@ -140,7 +140,7 @@
                 Some(value) => state.cache.registrations.insert(record.key, value),
                 None => state.cache.registrations.remove(&record.key),
             };
-            let after_outage = state.is_after_outage(now);
+            let after_outage = state.store_outage.affects_registrations(now);
             log_change(&state.registry, &change, after_outage);
             let counted = match &change {
                 Change::Registered(new) => state.record_restart(now, new),
@@ -153,7 +153,8 @@
             }
         }
         let state = &mut *self.shared.lock();
-        for id in state.registry.expire(now) {
+        let after_outage = state.store_outage.affects_registrations(now);
+        for id in state.registry.expire(after_outage) {
             info!("event=endpoint_lapsed endpoint={id}");
         }
         state.record_versions(now);
@@ -174,12 +175,13 @@
         let now = Instant::now();
         let mut guard = self.shared.lock();
         let state = &mut *guard;
-        let after_outage = state.is_after_outage(now);
+        let after_outage = state.store_outage.affects_registrations(now);
         let counted: Vec<_> = all.iter().flat_map(|new| state.record_restart(now, new)).collect();
         state.registry.replace(now, all, after_outage);
         state.versions.record_gap();
         state.record_versions(now);
         state.cache.registrations = values;
+        state.knows_registrations = true;
         state.dispatcher.retain_registered(&state.registry);
         drop(guard);
         if !counted.is_empty() {
@@ -195,8 +197,8 @@
         record_answer(&self.shared, Self::TOPIC);
     }
 
-    fn store_failed(&mut self, err: &StoreError) {
-        record_failure(&self.shared, Self::TOPIC, err);
+    fn store_failed(&mut self, sent_at: Instant, err: &StoreError) {
+        record_failure(&self.shared, Self::TOPIC, sent_at, err);
     }
 
     fn store_went_back(&mut self, era: StoreEra) {
@@ -230,13 +232,13 @@
 }
 
 fn record_answer(shared: &SharedState, topic: Topic) {
-    if shared.store_answered(Instant::now()) {
+    if shared.lock().store_outage.record_answer(Instant::now()) {
         info!("event=store_back topic={topic}");
     }
 }
 
-fn record_failure(shared: &SharedState, topic: Topic, err: &StoreError) {
-    if shared.store_failed() {
+fn record_failure(shared: &SharedState, topic: Topic, sent_at: Instant, err: &StoreError) {
+    if shared.lock().store_outage.record_failure(sent_at) {
         warn!("event=store_lost topic={topic} error=\"{err}\"");
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -14,8 +14,8 @@
     core::{
         admission::Answer,
         forwarding::{
-            Decision, Dispatcher, Endpoint, EndpointRegistry, Locality, REREGISTRATION_GRACE,
-            RefusalReason, Requirements, RetryBudget, RetryShare, Route, RouteTable, ServiceName,
+            Decision, Dispatcher, Endpoint, EndpointRegistry, Locality, RefusalReason,
+            Requirements, RetryBudget, RetryShare, Route, RouteTable, ServiceName, StoreOutage,
             Ticket, TimeLimit,
         },
         ids::{CrashId, EndpointId, VersionId},
@@ -95,8 +95,9 @@
     pub(super) admission_answers: HashMap<u64, mpsc::UnboundedSender<Answer>>,
     // Requests for admission that are to be sent, with the address of the engine.
     pub(super) admission_outbox: Vec<(SocketAddr, AdmissionRequest)>,
-    store_unavailable: bool,
-    store_recovered_at: Option<Instant>,
+    pub(super) store_outage: StoreOutage,
+    // The registrations were read from the store since the start.
+    pub(super) knows_registrations: bool,
     // The latest era in which the store returned from an older copy since the start.
     store_era: Option<StoreEra>,
     // A graceful shutdown and when it began.
@@ -189,8 +190,8 @@
             pending: HashMap::new(),
             admission_answers: HashMap::new(),
             admission_outbox: Vec::new(),
-            store_unavailable: false,
-            store_recovered_at: None,
+            store_outage: StoreOutage::default(),
+            knows_registrations: false,
             store_era: None,
             shutdown: None,
             saved_reports: HashSet::new(),
@@ -284,9 +285,9 @@
         self.lock().registry.get(endpoint).map(|e| e.registration.address)
     }
 
-    /// Whether the last request to the store failed.
+    /// Whether the store has answered no read since one that failed was sent.
     pub fn is_store_unavailable(&self) -> bool {
-        self.lock().store_unavailable
+        self.lock().store_outage.is_unavailable()
     }
 
     /// Whether a check for a crashed endpoint is in progress.
@@ -378,34 +379,16 @@
         })
     }
 
-    /// Records a failed request to the store. Returns whether the store was available
-    /// before.
-    pub(super) fn store_failed(&self) -> bool {
-        let mut state = self.lock();
-        !std::mem::replace(&mut state.store_unavailable, true)
-    }
-
-    /// Records an answer of the store. Returns whether the store was unavailable before.
-    pub(super) fn store_answered(&self, now: Instant) -> bool {
-        let mut state = self.lock();
-        if !std::mem::replace(&mut state.store_unavailable, false) {
-            return false;
-        }
-        state.store_recovered_at = Some(now);
-        state.registry.extend_grace(now + REREGISTRATION_GRACE);
-        true
-    }
-
     /// Notes that the store has returned from an older copy in this era. Registrations may be
     /// missing in it until the endpoints renew them, as after an outage, and so may saved
     /// crashes.
     pub(super) fn store_went_back(&self, now: Instant, era: StoreEra) {
         let mut state = self.lock();
-        if state.store_era.replace(era).is_some_and(|known| era <= known) {
+        if state.store_era.is_some_and(|known| era <= known) {
             return;
         }
-        state.store_recovered_at = Some(now);
-        state.registry.extend_grace(now + REREGISTRATION_GRACE);
+        state.store_era = Some(era);
+        state.store_outage.record_loss(now);
         state.save_reports_again();
         drop(state);
         self.report_unsaved.notify_one();
@@ -534,13 +517,6 @@
         let crash = crash_id(endpoint, started_ms);
         RunTarget { endpoint: endpoint.clone(), address, started_ms, version, crash }
     }
-
-    /// Whether the store is unavailable or was until recently, so that a live endpoint
-    /// may not have been able to renew its registration.
-    pub(super) fn is_after_outage(&self, now: Instant) -> bool {
-        self.store_unavailable
-            || self.store_recovered_at.is_some_and(|at| now < at + REREGISTRATION_GRACE)
-    }
 }
 
 /// Keeps a request registered with the dispatcher, waiting or running, until dropped.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -24,6 +24,7 @@
 mod silent_endpoints;
 mod store_access;
 mod store_copies;
+mod store_outages;
 mod stream_versions;
 mod streams;
 mod streams_beside_crashes;
