--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -30,6 +30,7 @@
         limits,
         planner::{self, AgentInfo, Planner},
         quotas,
+        retries::ShareLog,
         shared::{self, SharedState},
         streams,
     },
@@ -61,6 +62,7 @@
     last_hello: HashMap<EndpointId, Instant>,
     crash_reporter: CrashReporter,
     tenure: PlannerTenure,
+    share_log: ShareLog,
     version_gap: VersionGap,
     // Gateways that have just started or were silent, and were not told of streams yet.
     newcomers: Vec<SocketAddr>,
@@ -136,6 +138,7 @@
             last_hello: HashMap::new(),
             crash_reporter: CrashReporter::default(),
             tenure: PlannerTenure::default(),
+            share_log: ShareLog::default(),
             version_gap: VersionGap::default(),
             newcomers: Vec::new(),
             handed_over: false,
@@ -297,6 +300,7 @@
         }
         let live = self.live_gateways(now).count();
         state.retry_share.update(now);
+        self.share_log.record(now, &state.retry_share);
         state.set_known_gateways(now, 1 + self.gateways.len().max(self.other_seeds));
         // After its start, a gateway may not yet have heard from all those with which it
         // shares connections. For one retry window it assumes that all seeds run.
--- a/src/gateway/retries.rs
+++ b/src/gateway/retries.rs
@@ -2,10 +2,11 @@
 
 use std::time::Instant;
 
-use metrics::counter;
+use log::info;
+use metrics::{counter, gauge};
 
 use crate::{
-    core::forwarding::{Requirements, RetryBudget, ServiceName},
+    core::forwarding::{Requirements, RetryBudget, RetryShare, ServiceName},
     gateway::shared::{Bounds, SharedState, State},
     telemetry::names,
 };
@@ -38,6 +39,31 @@
     }
 }
 
+/// Publishes the part of the shared allowance that this gateway may use.
+#[derive(Debug, Default)]
+pub(super) struct ShareLog {
+    logged: Option<(usize, bool)>,
+}
+
+impl ShareLog {
+    /// Sets the metric, and logs a change.
+    pub(super) fn record(&mut self, now: Instant, share: &RetryShare) {
+        let (processes, heard) = (share.processes(now), share.report());
+        let has_part = processes != usize::MAX;
+        gauge!(names::RETRY_SHARE).set(if has_part { 1.0 / processes as f64 } else { 0.0 });
+        if self.logged.replace((processes, heard.is_informed))
+            == Some((processes, heard.is_informed))
+        {
+            return;
+        }
+        let divided_by = if has_part { processes.to_string() } else { "-".to_owned() };
+        info!(
+            "event=retry_share divided_by={divided_by} heard={} informed={}",
+            heard.processes, heard.is_informed
+        );
+    }
+}
+
 impl State {
     fn retry_budget(&mut self, bounds: &Bounds, service: &ServiceName) -> &mut RetryBudget {
         let Bounds { retry_ratio, retry_window, retry_slack, .. } = *bounds;
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -36,6 +36,8 @@
 /// Retries (attempts after the first), by reason; in a gateway, by whether the retry budget
 /// allowed them.
 pub const RETRIES: &str = "goldcrestpitch_retries_total";
+/// Part of the shared retry allowance that a gateway may use: 0 while it does not know the others.
+pub const RETRY_SHARE: &str = "goldcrestpitch_retry_share";
 /// Confirmed orders, by kind of resource and direction.
 pub const MOVES: &str = "goldcrestpitch_moves_total";
 /// Bytes of responses from another region.
