--- a/src/core/forwarding/retry_share.rs
+++ b/src/core/forwarding/retry_share.rs
@@ -12,7 +12,7 @@
 
 /// How long a silent process keeps its part.
 const FORGET_AFTER: Duration = Duration::from_secs(3600);
-/// How long a process waits for one that knows the others.
+/// How long a process waits for one that knows the others, or for all that are listed.
 const MAX_UNINFORMED: Duration = Duration::from_secs(60);
 
 /// What a process says of the others.
@@ -24,6 +24,16 @@
     pub is_informed: bool,
 }
 
+/// A list of all processes, to which each adds itself before it reads it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Directory {
+    /// There is none.
+    Unused,
+    /// This process has not read it yet.
+    Unread,
+    Read,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Peer {
     last_heard: Instant,
@@ -50,11 +60,12 @@
     started: Instant,
     // Retries from before the start may arrive for so long.
     window: Duration,
-    // Other processes in the settings that were not heard yet.
+    // Other processes, of the settings or the directory, that were not heard yet.
     unheard: HashSet<ProcessId>,
     peers: HashMap<ProcessId, Peer>,
     // No process has run before.
     first_start: bool,
+    directory: Directory,
     is_informed: bool,
 }
 
@@ -75,10 +86,36 @@
             unheard: seeds.into_iter().collect(),
             peers: HashMap::new(),
             first_start,
+            directory: Directory::Unused,
             is_informed: false,
         }
     }
 
+    /// The same, with a directory of all processes. Until it was read, or another process was
+    /// heard, silence tells nothing, and this process has no part.
+    pub fn with_directory(self) -> Self {
+        Self { directory: Directory::Unread, ..self }
+    }
+
+    /// Records the other processes that the directory lists when it is first read. Unless all
+    /// processes are starting, those of the settings that it does not list are gone.
+    pub fn record_directory(&mut self, processes: impl IntoIterator<Item = ProcessId>) {
+        if !self.first_start {
+            self.unheard.clear();
+        }
+        let unheard = processes.into_iter().filter(|process| !self.peers.contains_key(process));
+        self.unheard.extend(unheard);
+        self.directory = Directory::Read;
+    }
+
+    /// Records that a process has started, as the directory tells. It counts as heard, since it
+    /// may run where its messages do not arrive from.
+    pub fn record_started(&mut self, now: Instant, process: ProcessId) {
+        let report = ShareReport { processes: 1, is_informed: false };
+        let peer = self.peers.entry(process).or_insert(Peer { last_heard: now, report });
+        peer.last_heard = now;
+    }
+
     /// Records what another process says.
     pub fn record(&mut self, now: Instant, process: ProcessId, report: ShareReport) {
         self.unheard.remove(&process);
@@ -89,14 +126,17 @@
     pub fn update(&mut self, now: Instant) {
         self.peers.retain(|_, p| now < p.last_heard + FORGET_AFTER);
         let hears_informed = self.peers.values().any(|p| p.report.is_informed);
-        // A process that hears none of its seeds may be cut off.
+        // A process that hears none of the others may be cut off.
         let hears_any = !self.peers.is_empty() || self.unheard.is_empty();
-        let waited = hears_any && self.started + MAX_UNINFORMED <= now;
-        if waited {
+        let waited = self.started + MAX_UNINFORMED <= now;
+        if (hears_any && waited) || self.started + FORGET_AFTER <= now {
             self.unheard.clear();
         }
-        self.is_informed |=
-            hears_informed || waited || (self.first_start && self.unheard.is_empty());
+        let is_listed = self.directory == Directory::Read;
+        let hears_all = self.has_met() && self.unheard.is_empty();
+        self.is_informed |= hears_informed
+            || (waited && (hears_any || is_listed))
+            || (hears_all && (self.first_start || is_listed));
     }
 
     /// What this process says to others.
@@ -108,10 +148,16 @@
     /// this one has no part.
     pub fn processes(&self, now: Instant) -> usize {
         let settled = self.is_informed && self.started + self.window <= now;
-        if !settled && !self.first_start {
+        let starts_with_others = self.first_start && self.has_met();
+        if !settled && !starts_with_others {
             return usize::MAX;
         }
         let told = self.peers.values().map(|p| p.report.processes).max().unwrap_or(1);
         told.max(self.peers.len() + self.unheard.len() + 1)
     }
+
+    /// Whether silence tells something about the other processes.
+    fn has_met(&self) -> bool {
+        self.directory != Directory::Unread || !self.peers.is_empty()
+    }
 }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -13,6 +13,7 @@
 pub mod idempotency;
 pub mod ids;
 pub mod limits;
+pub mod membership;
 pub mod memory;
 pub mod orders;
 pub mod placement;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod bootstrap;
 mod crash_check;
 mod crash_reports;
+mod directory;
 mod follow;
 mod forward;
 mod limits;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -22,6 +22,7 @@
             WantedAdapter,
         },
         ids::EndpointId,
+        membership::Contacts,
         placement::PlannerTenure,
     },
     gateway::{
@@ -58,6 +59,7 @@
 #[derive(Debug)]
 struct PeerTracker {
     gateways: HashMap<SocketAddr, PeerInfo>,
+    contacts: Contacts,
     agents: HashMap<EndpointId, AgentInfo>,
     last_hello: HashMap<EndpointId, Instant>,
     crash_reporter: CrashReporter,
@@ -99,7 +101,7 @@
     let mut planner = Planner::default();
     let now = Instant::now();
     for seed in seeds {
-        peers.add_gateway(now, own, SocketAddr::new(seed, own.port()));
+        peers.add_contact(now, own, SocketAddr::new(seed, own.port()));
     }
     let mut ticks = time::interval(SEND_INTERVAL);
     ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
@@ -134,6 +136,7 @@
     fn new(own: SocketAddr, seeds: &[IpAddr]) -> Self {
         Self {
             gateways: HashMap::new(),
+            contacts: Contacts::default(),
             agents: HashMap::new(),
             last_hello: HashMap::new(),
             crash_reporter: CrashReporter::default(),
@@ -149,6 +152,14 @@
         }
     }
 
+    /// Adds a gateway that the settings or the directory name.
+    fn add_contact(&mut self, now: Instant, own: SocketAddr, address: SocketAddr) {
+        if address != own {
+            self.contacts.list(now, address);
+        }
+        self.add_gateway(now, own, address);
+    }
+
     /// Adds a gateway, or notes that a known one was listed again.
     fn add_gateway(&mut self, now: Instant, own: SocketAddr, address: SocketAddr) {
         if address != own {
@@ -176,6 +187,7 @@
         match body {
             Body::GatewayStatus(status) => {
                 self.add_gateway(now, own, from);
+                self.contacts.record_heard(now, from);
                 let (process, share) = (limits::process_id(from), ShareReport::from(&status));
                 shared.lock().retry_share.record(now, process, share);
                 self.version_gap.record(now, shared.version(), status.configuration, from);
@@ -285,6 +297,9 @@
             now < last + PEER_TIMEOUT * 5
         });
         let mut state = shared.lock();
+        for gateway in state.take_listed_gateways() {
+            self.add_contact(now, own, gateway);
+        }
         let silent: Vec<EndpointId> = self
             .agents
             .iter()
@@ -303,9 +318,10 @@
         self.share_log.record(now, &state.retry_share);
         state.set_known_gateways(now, 1 + self.gateways.len().max(self.other_seeds));
         // After its start, a gateway may not yet have heard from all those with which it
-        // shares connections. For one retry window it assumes that all seeds run.
+        // shares connections. For one retry window it assumes that all listed ones run.
         let recently_started = now < self.started + shared.bounds().retry_window;
-        let others = if recently_started { live.max(self.other_seeds) } else { live };
+        let listed = self.gateways.len().max(self.other_seeds);
+        let others = if recently_started { live.max(listed) } else { live };
         state.dispatcher.set_processes(1 + others);
         let position = self.update_position(&mut state, now, own);
         // One gateway deletes what all have forgotten.
@@ -314,10 +330,15 @@
         if !forgotten.is_empty() {
             shared.report_unsaved.notify_one();
         }
+        let gone = self.contacts.take_forgotten(now);
         state.demand.expire(now);
         state.origins.expire(now);
         state.log_ended_rests(now);
         gauge!(names::GATEWAYS).set((1 + live) as f64);
+        drop(state);
+        if position == 0 && !gone.is_empty() {
+            shared.delete_from_directory(gone);
+        }
     }
 
     fn live_gateways(
@@ -398,6 +419,10 @@
             status.kept = KeptSegments::new(&kept);
         }
         let without_demand = GatewayStatus { demand: Vec::new(), ..status.clone() };
+        let gateways = &self.gateways;
+        if let Some(silent) = self.contacts.take_silent(now, |a| gateways.contains_key(&a)) {
+            socket.send(silent, Body::GatewayStatus(without_demand.clone()));
+        }
         for address in self.gateways.keys() {
             if planner == Some(*address) {
                 socket.send(*address, Body::GatewayStatus(status.clone()));
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -15,7 +15,7 @@
     fleet::follow_topic,
     gateway::{
         accounts::AccountSettings,
-        bootstrap,
+        bootstrap, directory,
         follow::{EndpointUpdater, RouteUpdater},
         forward,
         limits::process_id,
@@ -101,7 +101,7 @@
     let others: Vec<SocketAddr> = others.filter(|address| *address != own).collect();
     let ids = others.iter().map(|address| process_id(*address));
     let (window, first_start) = (config.bounds.retry_window, config.first_start);
-    let share = RetryShare::new(Instant::now(), window, ids, first_start);
+    let share = RetryShare::new(Instant::now(), window, ids, first_start).with_directory();
     let memory = MemoryBudget::new(&config.limits);
     let seed = fastrand::u64(..);
     let shared =
@@ -111,7 +111,8 @@
     tokio::spawn(follow_topic(store.clone(), RouteUpdater { shared: shared.clone() }));
     tokio::spawn(follow_topic(store.clone(), EndpointUpdater::new(shared.clone())));
     tokio::spawn(follow_topic(store.clone(), QuarantineReader { shared: shared.clone() }));
-    tokio::spawn(save_reports(shared.clone(), store));
+    tokio::spawn(save_reports(shared.clone(), store.clone()));
+    tokio::spawn(directory::run(shared.clone(), store, own));
     tokio::spawn(bootstrap::fetch_from_gateways(shared.clone(), others));
     tokio::spawn(peers::run(shared.clone(), listeners.peers, own, config.seeds));
     tokio::spawn(dispatch_loop(shared.clone()));
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -27,6 +27,7 @@
     gateway::{
         accounts::{AccountSettings, AccountState},
         bootstrap::StoreCache,
+        directory::DirectoryState,
         run::{RunTarget, crash_id},
         upstream::ConnectionPool,
     },
@@ -85,6 +86,7 @@
     // Each service has its own retry budget.
     pub(super) retry_budgets: HashMap<ServiceName, RetryBudget>,
     pub(super) retry_share: RetryShare,
+    pub(super) directory: DirectoryState,
     // None until a configuration has accounts with limits.
     pub(super) quotas: Option<SharedQuotas>,
     // Gateways that are known, this one included.
@@ -149,6 +151,8 @@
     pub(super) quota_report_due: Notify,
     // Triggers messages to peers about streams that have begun here or that callers resume.
     pub(super) streams_changed: Notify,
+    // Wakes the task that keeps the directory of gateways.
+    pub(super) directory_changed: Notify,
     // Wakes requests that wait for what peers know of a stream.
     pub(super) origin_heard: Notify,
     // Triggers messages to agents when requests wait for an adapter to be loaded.
@@ -185,6 +189,7 @@
             cache: StoreCache::default(),
             retry_budgets: HashMap::new(),
             retry_share,
+            directory: DirectoryState::default(),
             quotas: None,
             known_gateways: 1,
             pending: HashMap::new(),
@@ -212,6 +217,7 @@
             limits_changed: Notify::new(),
             quota_report_due: Notify::new(),
             streams_changed: Notify::new(),
+            directory_changed: Notify::new(),
             origin_heard: Notify::new(),
             adapter_wanted: Notify::new(),
             runs_changed: Notify::new(),
@@ -260,6 +266,12 @@
         self.lock().dispatcher.rests().resting(Instant::now())
     }
 
+    /// Number of gateways among which the retry allowance is divided; the largest number there is
+    /// if this one has no part.
+    pub fn retry_processes(&self) -> usize {
+        self.lock().retry_share.processes(Instant::now())
+    }
+
     /// Number of requests that wait for an endpoint.
     pub fn waiting_requests(&self) -> usize {
         self.lock().dispatcher.waiting()
@@ -381,7 +393,7 @@
 
     /// Notes that the store has returned from an older copy in this era. Registrations may be
     /// missing in it until the endpoints renew them, as after an outage, and so may saved
-    /// crashes.
+    /// crashes and the record of this gateway.
     pub(super) fn store_went_back(&self, now: Instant, era: StoreEra) {
         let mut state = self.lock();
         if state.store_era.is_some_and(|known| era <= known) {
@@ -390,8 +402,10 @@
         state.store_era = Some(era);
         state.store_outage.record_loss(now);
         state.save_reports_again();
+        state.directory.is_lost = true;
         drop(state);
         self.report_unsaved.notify_one();
+        self.directory_changed.notify_one();
     }
 
     /// Queues a request and waits until an endpoint is chosen or it is refused.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -25,8 +25,8 @@
 pub use merged_head::is_merged_head;
 pub use registration::decode_registration;
 pub use store::{
-    CONFIGURATION, KeyedRecord, NewestRecords, Position, QUARANTINE, REGISTRATIONS, ReadPage,
-    STATUS, Store, StoreEra, StoreError, Topic,
+    CONFIGURATION, GATEWAYS, KeyedRecord, NewestRecords, Position, QUARANTINE, REGISTRATIONS,
+    ReadPage, STATUS, Store, StoreEra, StoreError, Topic,
 };
 
 use std::fmt;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -20,6 +20,9 @@
 /// Topic of the status records of the system's own processes.
 pub const STATUS: Topic = "keyed.status";
 
+/// Topic of the gateways' addresses.
+pub const GATEWAYS: Topic = "keyed.gateways";
+
 /// How many times the store has returned from an older copy of its records. After that, it
 /// gives out the offsets of the records that it lost to others.
 pub type StoreEra = u64;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod drain;
 mod explained;
 mod limited_endpoints;
+mod lone_gateways;
 mod lost_answers;
 mod refused_bodies;
 mod requests;
