--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -225,7 +225,7 @@
                 }
             }
             Body::AdmissionAnswer(answer) => admission::receive(shared, &answer),
-            Body::Hello(_) | Body::AdmissionRequest(_) => {}
+            Body::Hello(_) | Body::AdmissionRequest(_) | Body::Part(_) => {}
         }
     }
 
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -9,7 +9,7 @@
         quarantine::{self, Suspect},
     },
     gossip::{
-        AdmissionAnswer, AdmissionRequest, KeptSegments, LimitReports, MAX_DATAGRAM_BYTES,
+        AdmissionAnswer, AdmissionRequest, KeptSegments, LimitReports, MAX_DATAGRAM_BYTES, Part,
         QuotaReports, Streams,
     },
 };
@@ -23,7 +23,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
     /// The message; absent when its kind is unknown to this version.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<Body>,
 }
 
@@ -63,6 +63,9 @@
     /// From an engine agent to a gateway.
     #[prost(message, tag = "11")]
     AdmissionAnswer(AdmissionAnswer),
+    /// A part of any other message that is larger than a datagram.
+    #[prost(message, tag = "12")]
+    Part(Part),
 }
 
 /// Announces a gateway to an engine agent, with the changes that it requests there.
--- a/src/gossip/mod.rs
+++ b/src/gossip/mod.rs
@@ -7,6 +7,7 @@
 mod kept_segments;
 mod limit_reports;
 mod messages;
+mod parts;
 mod quota_reports;
 mod socket;
 mod streams;
@@ -19,6 +20,7 @@
     EngineLoad, EngineStatus, GatewayStatus, Hello, LoadedModel, ResidencyChange, SuspectKind,
     TrialClaims,
 };
+pub use parts::{Part, PartAssembler, PartSplitter};
 pub use quota_reports::{AccountQuota, InvalidQuota, QuotaReports};
 pub use socket::{MAX_DATAGRAM_BYTES, Socket, rotating_subset};
 pub use streams::{OriginKind, StreamOrigin, Streams};
--- a/src/gossip/socket.rs
+++ b/src/gossip/socket.rs
@@ -1,12 +1,21 @@
 //! The UDP socket for gossip datagrams.
 
-use std::{io, net::SocketAddr};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Instant,
+};
 
 use log::warn;
+use metrics::counter;
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use crate::gossip::{Body, Datagram};
+use crate::{
+    gossip::{Body, Datagram, PartAssembler, PartSplitter},
+    telemetry::names,
+};
 
 /// Largest datagram that is sent. It fits into one Ethernet frame.
 pub const MAX_DATAGRAM_BYTES: usize = 1400;
@@ -35,6 +44,8 @@
 #[derive(Debug)]
 pub struct Socket {
     socket: UdpSocket,
+    splitter: PartSplitter,
+    assembler: Mutex<PartAssembler>,
 }
 
 impl Socket {
@@ -43,7 +54,8 @@
     /// # Errors
     /// When the address cannot be bound, for example because it is in use.
     pub async fn bind(address: SocketAddr) -> io::Result<Self> {
-        Ok(Self { socket: UdpSocket::bind(address).await? })
+        let socket = UdpSocket::bind(address).await?;
+        Ok(Self { socket, splitter: PartSplitter::default(), assembler: Mutex::default() })
     }
 
     /// The address that the socket is bound to.
@@ -54,18 +66,20 @@
         self.socket.local_addr()
     }
 
-    /// Sends a message and returns whether it was sent. A message that is too large, or
-    /// that cannot be sent without blocking, is dropped: the next one repeats the state.
+    /// Sends a message, in as many datagrams as it takes, and returns whether it was sent. One
+    /// that cannot be sent without blocking is dropped: the next one repeats the state.
     pub fn send(&self, to: SocketAddr, body: Body) -> bool {
-        let bytes = Datagram { body: Some(body) }.encode_to_vec();
-        if MAX_DATAGRAM_BYTES < bytes.len() {
-            warn!("event=datagram_too_large bytes={} to={to}", bytes.len());
-            return false;
+        match self.splitter.encode(body) {
+            Ok(datagrams) => datagrams.iter().all(|d| self.socket.try_send_to(d, to).is_ok()),
+            Err(bytes) => {
+                counter!(names::DATAGRAMS_TOO_LARGE).increment(1);
+                warn!("event=datagram_too_large bytes={bytes} to={to}");
+                false
+            }
         }
-        self.socket.try_send_to(&bytes, to).is_ok()
     }
 
-    /// Receives the next message, skipping datagrams that cannot be decoded.
+    /// Receives the next whole message, skipping datagrams that cannot be decoded.
     ///
     /// # Errors
     /// When the socket fails.
@@ -74,7 +88,9 @@
         loop {
             let (length, from) = self.socket.recv_from(&mut buf).await?;
             let Ok(datagram) = Datagram::decode(&buf[..length]) else { continue };
-            if let Some(body) = datagram.body {
+            let Some(body) = datagram.body else { continue };
+            let mut assembler = self.assembler.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Some(body) = assembler.accept(Instant::now(), from, body) {
                 return Ok((from, body));
             }
         }
--- a/src/telemetry/names.rs
+++ b/src/telemetry/names.rs
@@ -75,6 +75,8 @@
 pub const STORE_FAILURES: &str = "goldcrestpitch_store_failures_total";
 /// Live gateways known from gossip, this one included.
 pub const GATEWAYS: &str = "goldcrestpitch_gateways";
+/// Messages between processes that were dropped since they are too large.
+pub const DATAGRAMS_TOO_LARGE: &str = "goldcrestpitch_datagrams_too_large_total";
 /// Orders sent to the engine, by answer.
 pub const ORDERS: &str = "goldcrestpitch_orders_total";
 /// Decisions of an agent on the admission of prompts, by answer.
--- a/tests/gossip.rs
+++ b/tests/gossip.rs
@@ -1,5 +1,5 @@
-//! Messages of the largest deployments must fit into one datagram: a larger message is
-//! dropped by the sender, each time.
+//! Messages of usual deployments must fit into one datagram. A larger message takes several, and
+//! is lost with any of them.
 
 use std::time::Instant;
 
