--- a/src/core/residency/order_scheduler.rs
+++ b/src/core/residency/order_scheduler.rs
@@ -5,7 +5,8 @@
 //! an order whose number differs. At most one of several in-flight orders can
 //! therefore take effect. The number starts anew with the engine, so an order also
 //! names the engine, and one that may reach a later start of the same engine has
-//! its memory reserved there.
+//! its memory reserved there. After a start of the agent that may be one which it does
+//! not know, so that there is room for any.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -16,7 +17,10 @@
 use crate::core::{
     forwarding::{EndpointState, EngineSpec, LoadedModel, ModelRef},
     ids::{EndpointId, Mib, ModelName},
-    residency::{EngineOrder, EngineReport, Operation, OrderAnswer},
+    residency::{
+        EngineOrder, EngineReport, LATE_ORDER_LIFETIME, Operation, OrderAnswer,
+        predecessor::Predecessor,
+    },
 };
 
 /// Time after which a change request expires unless it is repeated. Four times the
@@ -29,9 +33,6 @@
 /// refused. Twice the period at which gateways report what they use.
 const USE_LIFETIME: Duration = Duration::from_millis(900);
 
-/// How long an order without an answer may still be carried out. The platform's rules say
-/// seconds.
-const LATE_ORDER_LIFETIME: Duration = Duration::from_secs(30);
 /// How long an engine's id is known after a gateway last named it: several times the
 /// interval at which gateways do so.
 const ENDPOINT_LIFETIME: Duration = Duration::from_secs(10);
@@ -57,6 +58,8 @@
     // Start in Unix milliseconds; 0 if it is unknown.
     started_ms: u64,
     last_named: Instant,
+    // No engine has run under the id before that start.
+    is_first_start: bool,
 }
 
 /// An order without an answer.
@@ -118,6 +121,10 @@
     // Start and number of accepted orders in the newest report.
     reported_start: Option<(Option<u64>, u64)>,
     late_orders: Vec<LateOrder>,
+    // None if no process of the agent has run before.
+    predecessor: Option<Predecessor>,
+    // The engine may carry out an order of the predecessor.
+    expects_late_order: bool,
 }
 
 impl OrderScheduler {
@@ -135,7 +142,28 @@
     /// Records that a gateway names the engine at the agent's address, with its start in Unix
     /// milliseconds (0 if it is unknown). After a restart, gateways may name either for a while.
     pub fn set_endpoint(&mut self, now: Instant, id: EndpointId, started_ms: u64) {
-        self.endpoints.insert(id, NamedEndpoint { started_ms, last_named: now });
+        let known = self.endpoints.get(&id).filter(|e| e.started_ms == started_ms);
+        let is_first_start = known.is_some_and(|e| e.is_first_start);
+        self.endpoints.insert(id, NamedEndpoint { started_ms, last_named: now, is_first_start });
+    }
+
+    /// Records that a gateway knows of no earlier start of a named engine than this one.
+    pub fn confirm_first_start(&mut self, id: &str, started_ms: u64) {
+        let named = self.endpoints.get_mut(id).filter(|e| e.started_ms == started_ms);
+        if let Some(named) = named {
+            named.is_first_start = true;
+        }
+    }
+
+    /// Records that another process may have sent orders to the engine until this one started, at
+    /// this time, also given in Unix milliseconds.
+    pub fn set_predecessor(&mut self, started_at: Instant, started_ms: u64) {
+        self.predecessor = Some(Predecessor::new(started_at, started_ms));
+    }
+
+    /// Whether room is kept for an order of an earlier process, as of the last report.
+    pub fn expects_late_order(&self) -> bool {
+        self.expects_late_order
     }
 
     /// Whether both the engine's specification and a fencing token are known.
@@ -256,6 +284,9 @@
         }
         let present = report.adapters();
         self.unloading_adapters.retain(|item| present.contains(item));
+        let named = self.endpoint(&report).and_then(|id| self.endpoints.get(id));
+        self.expects_late_order = !named.is_some_and(|e| e.is_first_start)
+            && self.predecessor.is_some_and(|p| p.may_have_sent(now, report.started_ms));
         self.last_report = Some(report);
         changed
     }
@@ -327,11 +358,15 @@
         let (model, adapter) = missing?;
         let size = spec.models.get(&model)?.adapter_size;
         let late = self.late_loads(report).filter(|order| order.adapter.is_some()).count();
+        let late = late + usize::from(self.expects_late_order);
         let slots = (spec.adapter_slots as usize).saturating_sub(late);
-        if present.len() < slots && self.free_memory(spec, report) >= size {
+        let free = self.free_memory(spec, report);
+        if present.len() < slots && size <= free {
             return Some((Operation::Load, (model, Some(adapter))));
         }
-        if !self.unloading_adapters.is_empty() {
+        // Unloads of adapters make no room for the load of a model.
+        let is_kept_free = free < size && size <= self.unclaimed_memory(spec, report);
+        if !self.unloading_adapters.is_empty() || is_kept_free {
             return None;
         }
         let idle_since = |item: &(ModelName, Arc<str>)| {
@@ -369,7 +404,23 @@
         load.map(|((model, _), _)| (Operation::Load, (model.clone(), None)))
     }
 
+    /// Memory for further loads.
     fn free_memory(&self, spec: &EngineSpec, report: &EngineReport) -> Mib {
+        let reserve = if self.expects_late_order { self.largest_load(spec, report) } else { 0 };
+        self.unclaimed_memory(spec, report).saturating_sub(reserve)
+    }
+
+    /// The most memory that one order can take up.
+    fn largest_load(&self, spec: &EngineSpec, report: &EngineReport) -> Mib {
+        let sizes = spec.models.iter().map(|(name, model)| {
+            let is_held = report.residency.is_loaded(name, None) || self.loading() == Some(name);
+            if is_held { model.adapter_size } else { model.weights_size }
+        });
+        sizes.max().unwrap_or(0).min(spec.weights_memory)
+    }
+
+    /// Memory that neither the engine's models nor the orders of this process take up.
+    fn unclaimed_memory(&self, spec: &EngineSpec, report: &EngineReport) -> Mib {
         let loading = self.loading.as_ref().map(|(model, _)| model);
         let loading = loading.filter(|m| !report.residency.is_loaded(m, None));
         let loading = loading
--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -128,14 +128,17 @@
 pub fn start(config: EngineAgentConfig, socket: Socket) -> EngineAgent {
     let store = Store::new(config.store);
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let started_ms = since_epoch.as_millis() as u64;
+    let mut state = State::default();
+    state.order_scheduler.set_predecessor(Instant::now(), started_ms);
     let shared = Arc::new(SharedState {
         engine: EngineClient::new(config.engine, &config.name),
         config,
         socket,
-        state: Mutex::default(),
+        state: Mutex::new(state),
         change_requested: Notify::new(),
         admission_changed: Notify::new(),
-        started_ms: since_epoch.as_millis() as u64,
+        started_ms,
     });
     let spec = SpecUpdater { shared: shared.clone(), version: None };
     let tasks = [
@@ -244,6 +247,10 @@
         if !hello.engine_id.is_empty() {
             let id = hello.engine_id.as_str().into();
             state.order_scheduler.set_endpoint(now, id, hello.engine_started_ms);
+            if hello.engine_is_first_start {
+                let scheduler = &mut state.order_scheduler;
+                scheduler.confirm_first_start(&hello.engine_id, hello.engine_started_ms);
+            }
         }
         let planner = planner_address(&state.gateways, now);
         for change in &hello.changes {
@@ -392,7 +399,12 @@
                 let waiting = report.load.awaiting_first_token;
                 let previously_waiting = std::mem::replace(&mut awaiting_first_token, waiting);
                 if !order_in_flight {
+                    let expected_late = state.order_scheduler.expects_late_order();
                     state.order_scheduler.handle_report(now, report.clone());
+                    let expects_late = state.order_scheduler.expects_late_order();
+                    if expects_late != expected_late {
+                        info!("event=late_order_expected expected={expects_late}");
+                    }
                 }
                 state.last_report = Some(report);
                 let due =
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -537,6 +537,7 @@
         }
         let mut all_used = state.dispatcher.take_in_use();
         for (id, address, engine_started_ms) in agents(&state, own) {
+            let engine_is_first_start = state.start_history.is_first(&id, engine_started_ms);
             let changes = all_changes.remove(&id).unwrap_or_default();
             let used = all_used.remove(&id).unwrap_or_default();
             let used_models: Vec<String> = used.iter().map(model_ref_text).collect();
@@ -553,6 +554,7 @@
                     wants_status,
                     engine_id,
                     engine_started_ms,
+                    engine_is_first_start,
                 };
                 socket.send(address, Body::Hello(hello));
             }
@@ -587,6 +589,7 @@
     let state = shared.lock();
     for (id, changes) in adapter_requests(&state) {
         let Some(engine) = state.registry.get(&id) else { continue };
+        let engine_started_ms = engine.registration.started_ms;
         let hello = Hello {
             serving,
             is_planner: false,
@@ -594,7 +597,8 @@
             used_models: Vec::new(),
             wants_status: false,
             engine_id: id.to_string(),
-            engine_started_ms: engine.registration.started_ms,
+            engine_started_ms,
+            engine_is_first_start: state.start_history.is_first(&id, engine_started_ms),
         };
         socket.send(agent_address(engine, own), Body::Hello(hello));
     }
--- a/tests/gossip_parts.rs
+++ b/tests/gossip_parts.rs
@@ -117,11 +117,9 @@
         let mut arrived: Vec<(u16, Body)> = Vec::new();
         for (port, datagram) in &datagrams {
             for _ in 0..if rng.f64() < 0.1 { 2 } else { 1 } {
-                if let Some(body) = assembler.accept(now, sender(*port), decode(datagram)) {
-                    if !arrived.contains(&(*port, body.clone())) {
-                        arrived.push((*port, body));
-                    }
-                }
+                let joined = assembler.accept(now, sender(*port), decode(datagram));
+                let new = joined.map(|body| (*port, body)).filter(|new| !arrived.contains(new));
+                arrived.extend(new);
             }
         }
         prop_assert_eq!(arrived.len(), 2 * messages.len());
--- a/tests/placement/main.rs
+++ b/tests/placement/main.rs
@@ -2,3 +2,4 @@
 
 mod fleet_planner;
 mod order_scheduler;
+mod restarted_agent;
--- a/tests/placement/order_scheduler.rs
+++ b/tests/placement/order_scheduler.rs
@@ -28,19 +28,19 @@
 }
 
 /// Simulated engine that crashes when an order exceeds its memory or adapter slots.
-struct Engine {
-    id: String,
-    started_ms: u64,
-    loaded: HashMap<String, Vec<String>>,
+pub struct Engine {
+    pub id: String,
+    pub started_ms: u64,
+    pub loaded: HashMap<String, Vec<String>>,
     seq: u64,
     busy: Option<(EngineOrder, Instant)>,
-    delayed: VecDeque<(EngineOrder, Instant)>,
-    crashed: bool,
-    accepted: Vec<u64>,
+    pub delayed: VecDeque<(EngineOrder, Instant)>,
+    pub crashed: bool,
+    pub accepted: Vec<u64>,
 }
 
 impl Engine {
-    fn new() -> Self {
+    pub fn new() -> Self {
         Self {
             id: "i-0".to_owned(),
             started_ms: 1,
@@ -66,7 +66,7 @@
 
     /// Starts again, empty, under a new id or the one that it had. Orders that are on their way
     /// still arrive.
-    fn restart(&mut self, id: Option<String>) {
+    pub fn restart(&mut self, id: Option<String>) {
         let (id, delayed) = (id.unwrap_or(self.id.clone()), std::mem::take(&mut self.delayed));
         *self = Self {
             id,
@@ -78,7 +78,7 @@
         };
     }
 
-    fn order(&mut self, now: Instant, order: &EngineOrder) -> OrderAnswer {
+    pub fn order(&mut self, now: Instant, order: &EngineOrder) -> OrderAnswer {
         if order.endpoint.as_ref().is_some_and(|id| **id != *self.id) {
             return OrderAnswer::OtherEndpoint;
         }
@@ -115,7 +115,7 @@
         OrderAnswer::Accepted
     }
 
-    fn tick(&mut self, now: Instant) {
+    pub fn tick(&mut self, now: Instant) {
         if let Some((order, _)) = self.busy.take_if(|(_, at)| *at <= now) {
             let model = order.model.to_string();
             match order.operation {
@@ -133,7 +133,7 @@
         }
     }
 
-    fn report(&self) -> EngineReport {
+    pub fn report(&self) -> EngineReport {
         let loaded = self.loaded.iter().map(|(name, adapters)| LoadedModel {
             name: name.as_str().into(),
             adapters: adapters.iter().map(|a| a.as_str().into()).collect(),
@@ -154,7 +154,11 @@
     }
 }
 
-fn request_random_change(rng: &mut fastrand::Rng, now: Instant, scheduler: &mut OrderScheduler) {
+pub fn request_random_change(
+    rng: &mut fastrand::Rng,
+    now: Instant,
+    scheduler: &mut OrderScheduler,
+) {
     let (model, _) = MODELS[rng.usize(..MODELS.len())];
     let adapter = rng.bool().then(|| ["x", "y", "z", "u"][rng.usize(..4)].into());
     let (source, operation) = match (&adapter, rng.u8(..4)) {
@@ -356,7 +360,7 @@
     assert_eq!(scheduler.next_order(now), None);
 }
 
-fn scheduler() -> OrderScheduler {
+pub fn scheduler() -> OrderScheduler {
     let mut scheduler = OrderScheduler::default();
     scheduler.set_spec(spec());
     scheduler.set_fence(1);
