A start that is not told is not known to be the first; messages to agents in a module

An engine whose registration or report does not tell its start could have counted as running for the first time after it had started again (read, no run shows it): start 0 never counts as the first, and an untold one in a report neither.

--- a/src/core/residency/order_scheduler.rs
+++ b/src/core/residency/order_scheduler.rs
@@ -285,7 +285,8 @@
         let present = report.adapters();
         self.unloading_adapters.retain(|item| present.contains(item));
         let named = self.endpoint(&report).and_then(|id| self.endpoints.get(id));
-        self.expects_late_order = !named.is_some_and(|e| e.is_first_start)
+        let is_first_start = report.started_ms.is_some() && named.is_some_and(|e| e.is_first_start);
+        self.expects_late_order = !is_first_start
             && self.predecessor.is_some_and(|p| p.may_have_sent(now, report.started_ms));
         self.last_report = Some(report);
         changed
--- a/src/core/residency/start_history.rs
+++ b/src/core/residency/start_history.rs
@@ -74,8 +74,10 @@
         self.seen.retain(|_, seen| now < seen.last_read + REMEMBER_FOR);
     }
 
-    /// Whether no order can be under way to an earlier start of this engine.
+    /// Whether no order can be under way to an earlier start of this engine. Starts that are not
+    /// told, 0, can't be told apart.
     pub fn is_first(&self, id: &str, started_ms: u64) -> bool {
-        self.seen.get(id).is_some_and(|seen| seen.is_first && seen.started_ms == started_ms)
+        let seen = self.seen.get(id).filter(|_| started_ms != 0);
+        seen.is_some_and(|seen| seen.is_first && seen.started_ms == started_ms)
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod directory;
 mod follow;
 mod forward;
+mod hellos;
 mod limits;
 mod loop_probe;
 mod outbound;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -17,10 +17,7 @@
 
 use crate::{
     core::{
-        forwarding::{
-            Endpoint, EndpointSubset, LoadReport, Locality, ModelRef, ShareReport, VersionGap,
-            WantedAdapter,
-        },
+        forwarding::{EndpointSubset, LoadReport, Locality, ShareReport, VersionGap},
         ids::EndpointId,
         membership::Contacts,
         placement::PlannerTenure,
@@ -28,7 +25,7 @@
     gateway::{
         admission, bootstrap,
         crash_reports::{self, CrashReporter},
-        limits,
+        hellos, limits,
         planner::{self, AgentInfo, Planner},
         quotas,
         retries::ShareLog,
@@ -36,7 +33,7 @@
         streams,
     },
     gossip::{
-        Body, ChangeKind, Demand, EngineLoad, EngineStatus, GatewayStatus, Hello, KeptSegments,
+        Body, Demand, EngineLoad, EngineStatus, GatewayStatus, Hello, KeptSegments,
         ResidencyChange, Socket, TrialClaims, rotating_subset,
     },
     telemetry::names,
@@ -122,7 +119,7 @@
             () = shared.quota_report_due.notified() =>
                 quotas::send(&shared, &socket, peers.gateways.keys().copied()),
             () = shared.streams_changed.notified() => peers.send_streams(&shared, &socket),
-            () = shared.adapter_wanted.notified() => send_adapter_requests(&shared, &socket, own),
+            () = shared.adapter_wanted.notified() => hellos::send_adapter_requests(&shared, &socket, own),
             received = socket.receive() => {
                 if let Ok((from, body)) = received {
                     peers.receive(&shared, &socket, own, from, body);
@@ -532,30 +529,26 @@
                 .or_default()
                 .extend(planner::residency_changes(change));
         }
-        for (id, adapters) in adapter_requests(&state) {
+        for (id, adapters) in hellos::adapter_requests(&state) {
             all_changes.entry(id).or_default().extend(adapters);
         }
         let mut all_used = state.dispatcher.take_in_use();
-        for (id, address, engine_started_ms) in agents(&state, own) {
-            let engine_is_first_start = state.start_history.is_first(&id, engine_started_ms);
+        for (id, address, engine_started_ms) in hellos::agents(&state, own) {
             let changes = all_changes.remove(&id).unwrap_or_default();
             let used = all_used.remove(&id).unwrap_or_default();
-            let used_models: Vec<String> = used.iter().map(model_ref_text).collect();
+            let used_models: Vec<String> = used.iter().map(hellos::model_ref_text).collect();
             let wants_status = !self.agents.contains_key(&id);
             let due = self.last_hello.get(&id).is_none_or(|at| *at + HELLO_INTERVAL <= now);
             if is_planner || wants_status || due || !changes.is_empty() || !used_models.is_empty() {
-                let engine_id = id.to_string();
-                self.last_hello.insert(id, now);
                 let hello = Hello {
                     serving,
                     is_planner,
                     changes,
                     used_models,
                     wants_status,
-                    engine_id,
-                    engine_started_ms,
-                    engine_is_first_start,
+                    ..hellos::naming(&state, &id, engine_started_ms)
                 };
+                self.last_hello.insert(id, now);
                 socket.send(address, Body::Hello(hello));
             }
         }
@@ -569,63 +562,6 @@
     }
 }
 
-/// The registered engines with the addresses of their agents and their starts.
-fn agents(state: &shared::State, own: SocketAddr) -> Vec<(EndpointId, SocketAddr, u64)> {
-    let engines = state.registry.iter().filter(|e| {
-        let service = state.table.as_ref().and_then(|t| t.service(&e.registration.service));
-        service.is_some_and(|s| s.engine.is_some())
-    });
-    engines.map(|e| (e.id().clone(), agent_address(e, own), e.registration.started_ms)).collect()
-}
-
-/// An agent runs on the VM of its engine and listens on the same port as gateways.
-fn agent_address(engine: &Endpoint, own: SocketAddr) -> SocketAddr {
-    SocketAddr::new(engine.registration.address.ip(), own.port())
-}
-
-/// Asks agents to load the adapters that requests wait for.
-fn send_adapter_requests(shared: &SharedState, socket: &Socket, own: SocketAddr) {
-    let serving = shared.is_ready();
-    let state = shared.lock();
-    for (id, changes) in adapter_requests(&state) {
-        let Some(engine) = state.registry.get(&id) else { continue };
-        let engine_started_ms = engine.registration.started_ms;
-        let hello = Hello {
-            serving,
-            is_planner: false,
-            changes,
-            used_models: Vec::new(),
-            wants_status: false,
-            engine_id: id.to_string(),
-            engine_started_ms,
-            engine_is_first_start: state.start_history.is_first(&id, engine_started_ms),
-        };
-        socket.send(agent_address(engine, own), Body::Hello(hello));
-    }
-}
-
-/// The adapters that agents are asked to load for waiting requests, by engine.
-fn adapter_requests(state: &shared::State) -> HashMap<EndpointId, Vec<ResidencyChange>> {
-    let mut requests: HashMap<EndpointId, Vec<ResidencyChange>> = HashMap::new();
-    for wanted in state.dispatcher.wanted_adapters() {
-        requests.entry(wanted.endpoint.clone()).or_default().push(load_adapter(wanted));
-    }
-    requests
-}
-
-/// Formats a model as MODEL, or an adapter of it as MODEL/ADAPTER.
-fn model_ref_text((model, adapter): &ModelRef) -> String {
-    adapter.as_ref().map_or_else(|| model.to_string(), |adapter| format!("{model}/{adapter}"))
-}
-
-fn load_adapter(wanted: &WantedAdapter) -> ResidencyChange {
-    ResidencyChange {
-        kind: ChangeKind::Load.into(),
-        model: wanted.model.to_string(),
-        adapter: wanted.adapter.to_string(),
-    }
-}
-
 /// Builds the locality of this gateway, its zone and the region of each zone, from its
 /// settings.
 pub(super) fn locality(zone: &str, regions: &[(String, String)]) -> Locality {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -269,6 +269,11 @@
         self.lock().dispatcher.rests().resting(Instant::now())
     }
 
+    /// Number of gateways among which quotas are divided, this one included.
+    pub fn known_gateways(&self) -> usize {
+        self.lock().known_gateways
+    }
+
     /// Number of gateways among which the retry allowance is divided; the largest number there is
     /// if this one has no part.
     pub fn retry_processes(&self) -> usize {
--- a/tests/gateway/lone_gateways.rs
+++ b/tests/gateway/lone_gateways.rs
@@ -32,6 +32,7 @@
         for gateway in &gateways {
             // The seed that is down counts as well, since it may be about to start.
             gateway.wait_until(|gateway| gateway.process.shared().retry_processes() == 5).await;
+            gateway.wait_until(|gateway| gateway.process.shared().known_gateways() == 5).await;
         }
     });
 }
--- a/tests/placement/restarted_agent.rs
+++ b/tests/placement/restarted_agent.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use goldcrestpitch::core::residency::{
-    ChangeSource, EngineOrder, Operation, OrderScheduler, StartHistory,
+    ChangeSource, EngineOrder, EngineReport, Operation, OrderScheduler, StartHistory,
 };
 
 use crate::order_scheduler::{Engine, request_random_change, scheduler};
@@ -258,3 +258,19 @@
     assert_eq!(vm.engine.loaded["a"].len(), 2);
     assert_eq!(vm.engine.accepted.len(), orders);
 }
+
+#[test]
+fn start_that_an_engine_does_not_tell_is_not_known_to_be_its_first() {
+    let (now, mut agent, mut history) = (Instant::now(), scheduler(), StartHistory::new(true));
+    agent.set_predecessor(now, 1000);
+    history.record_start(now, &"i-0".into(), 0);
+    assert!(!history.is_first("i-0", 0));
+    // The engine may have started again since a gateway named it.
+    agent.set_endpoint(now, "i-0".into(), 900);
+    agent.confirm_first_start("i-0", 900);
+    let report = Engine::new().report();
+    agent.handle_report(now, EngineReport { started_ms: None, ..report.clone() });
+    assert!(agent.expects_late_order());
+    agent.handle_report(now, EngineReport { started_ms: Some(900), ..report });
+    assert!(!agent.expects_late_order());
+}
