--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -150,7 +150,6 @@
         state.directory.listed.extend(&gateways);
         drop(state);
         self.known = gateways.into_iter().collect();
-        self.shared.peer_update_due.notify_one();
     }
 
     fn update(&mut self, records: Vec<KeyedRecord>, _next: Position) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -119,7 +119,8 @@
             () = shared.quota_report_due.notified() =>
                 quotas::send(&shared, &socket, peers.gateways.keys().copied()),
             () = shared.streams_changed.notified() => peers.send_streams(&shared, &socket),
-            () = shared.adapter_wanted.notified() => hellos::send_adapter_requests(&shared, &socket, own),
+            () = shared.adapter_wanted.notified() =>
+                hellos::send_adapter_requests(&shared, &socket, own),
             received = socket.receive() => {
                 if let Ok((from, body)) = received {
                     peers.receive(&shared, &socket, own, from, body);
