LIMIT: no room is kept where no order of another agent can add to what is held

Change: the room is for the largest model other than those held and the one that is next, as a load of these changes nothing. The agent has the setting first_start, which the platform fills in as for gateways: then no earlier process can have sent anything.

platform_answers and the others run here pass: placement 31, engine_agent 9, documents 10.

--- a/src/cli/platform.rs
+++ b/src/cli/platform.rs
@@ -104,6 +104,7 @@
     info!("event=started role=engine-agent name={}", settings.name);
     let config = EngineAgentConfig {
         admits: settings.admits,
+        first_start: settings.first_start,
         name: settings.name.clone(),
         service: settings.service.clone(),
         engine: settings.engine,
--- a/src/core/residency/order_scheduler.rs
+++ b/src/core/residency/order_scheduler.rs
@@ -237,7 +237,7 @@
         let known = self
             .spec
             .as_ref()
-            .map(|s| s.weights_memory - self.free_memory(s, report).min(s.weights_memory));
+            .map(|s| s.weights_memory - self.free_memory(s, report, None).min(s.weights_memory));
         known.unwrap_or(Mib::MAX)
     }
 
@@ -361,7 +361,7 @@
         let late = self.late_loads(report).filter(|order| order.adapter.is_some()).count();
         let late = late + usize::from(self.expects_late_order);
         let slots = (spec.adapter_slots as usize).saturating_sub(late);
-        let free = self.free_memory(spec, report);
+        let free = self.free_memory(spec, report, None);
         if present.len() < slots && size <= free {
             return Some((Operation::Load, (model, Some(adapter))));
         }
@@ -397,27 +397,28 @@
         if let Some(((model, _), _)) = unload {
             return Some((Operation::Unload, (model.clone(), None)));
         }
-        let free = self.free_memory(spec, report);
         let load = models.iter().find(|((model, _), request)| {
             let size = spec.models.get(model).map(|s| s.weights_size);
-            request.operation == Operation::Load && !holds(model) && size.is_some_and(|s| s <= free)
+            let fits = size.is_some_and(|s| s <= self.free_memory(spec, report, Some(model)));
+            request.operation == Operation::Load && !holds(model) && fits
         });
         load.map(|((model, _), _)| (Operation::Load, (model.clone(), None)))
     }
 
-    /// Memory for further loads.
-    fn free_memory(&self, spec: &EngineSpec, report: &EngineReport) -> Mib {
-        let reserve = if self.expects_late_order { self.largest_load(spec, report) } else { 0 };
-        self.unclaimed_memory(spec, report).saturating_sub(reserve)
-    }
-
-    /// The most memory that one order can take up.
-    fn largest_load(&self, spec: &EngineSpec, report: &EngineReport) -> Mib {
-        let sizes = spec.models.iter().map(|(name, model)| {
-            let is_held = report.residency.is_loaded(name, None) || self.loading() == Some(name);
-            if is_held { model.adapter_size } else { model.weights_size }
-        });
-        sizes.max().unwrap_or(0).min(spec.weights_memory)
+    /// Memory for further loads, or for the load of this model.
+    fn free_memory(
+        &self,
+        spec: &EngineSpec,
+        report: &EngineReport,
+        next: Option<&ModelName>,
+    ) -> Mib {
+        let unclaimed = self.unclaimed_memory(spec, report);
+        let is_held = |model: &ModelName| {
+            let is_loading = self.loading() == Some(model) || next == Some(model);
+            is_loading || report.residency.is_loaded(model, None)
+        };
+        let reserve = if self.expects_late_order { largest_load(spec, is_held) } else { 0 };
+        unclaimed.saturating_sub(reserve)
     }
 
     /// Memory that neither the engine's models nor the orders of this process take up.
@@ -464,6 +465,15 @@
     }
 }
 
+/// The most memory that one order can take up. A load of a model that is held changes nothing.
+fn largest_load(spec: &EngineSpec, is_held: impl Fn(&ModelName) -> bool) -> Mib {
+    let sizes = spec
+        .models
+        .iter()
+        .map(|(name, model)| if is_held(name) { model.adapter_size } else { model.weights_size });
+    sizes.max().unwrap_or(0).min(spec.weights_memory)
+}
+
 /// Whether the engine has started again between two reports, of which each gives the start and
 /// the number of accepted orders.
 fn is_restart(before: (Option<u64>, u64), after: (Option<u64>, u64)) -> bool {
--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -71,6 +71,8 @@
     pub store: SocketAddr,
     /// Gateways ask the agent before they send prompts to the engine.
     pub admits: bool,
+    /// No agent has run on this VM before.
+    pub first_start: bool,
 }
 
 /// State that the tasks of the agent share.
@@ -130,7 +132,9 @@
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let started_ms = since_epoch.as_millis() as u64;
     let mut state = State::default();
-    state.order_scheduler.set_predecessor(Instant::now(), started_ms);
+    if !config.first_start {
+        state.order_scheduler.set_predecessor(Instant::now(), started_ms);
+    }
     let shared = Arc::new(SharedState {
         engine: EngineClient::new(config.engine, &config.name),
         config,
--- a/src/settings/engine_agent.rs
+++ b/src/settings/engine_agent.rs
@@ -24,6 +24,8 @@
     pub store: SocketAddr,
     /// Gateways ask the agent before they send prompts to the engine.
     pub admits: bool,
+    /// No agent has run on this VM before.
+    pub first_start: bool,
     /// Log levels, global and per module.
     pub levels: LogLevels,
 }
@@ -41,6 +43,7 @@
         let peer = r.address("engine_agent", "peer_listen");
         let admin = r.address("engine_agent", "admin_listen");
         let admits = r.flag("engine_agent", "admits");
+        let first_start = r.flag("engine_agent", "first_start");
         let store = r.address("store", "address");
         let levels = r.parsed("logs", "levels");
         r.require_distinct("engine_agent", &[("engine", engine), ("admin_listen", admin)]);
@@ -54,6 +57,7 @@
                 admin_listen: admin?,
                 store: store?,
                 admits,
+                first_start,
                 levels,
             })
         };
--- a/tests/engine_agent.rs
+++ b/tests/engine_agent.rs
@@ -137,6 +137,7 @@
             engine: engine_address,
             store,
             admits: false,
+            first_start: false,
         };
         let agent = engine_agent::start(config.clone(), socket);
         Self {
--- a/tests/placement/order_scheduler.rs
+++ b/tests/placement/order_scheduler.rs
@@ -12,7 +12,7 @@
 
 const MODELS: [(&str, u64); 5] = [("a", 34), ("b", 34), ("c", 34), ("d", 16), ("e", 16)];
 
-fn spec() -> EngineSpec {
+pub fn spec() -> EngineSpec {
     let model = |weights| ModelSpec {
         weights_size: weights,
         adapter_size: 1,
--- a/tests/placement/restarted_agent.rs
+++ b/tests/placement/restarted_agent.rs
@@ -7,7 +7,7 @@
     ChangeSource, EngineOrder, EngineReport, Operation, OrderScheduler, StartHistory,
 };
 
-use crate::order_scheduler::{Engine, request_random_change, scheduler};
+use crate::order_scheduler::{Engine, request_random_change, scheduler, spec};
 
 const SEEDS: u64 = 2000;
 const STEP_MS: u64 = 50;
@@ -274,3 +274,17 @@
     agent.handle_report(now, EngineReport { started_ms: Some(900), ..report });
     assert!(!agent.expects_late_order());
 }
+
+// Guards against an engine that waits with the second of two models that fit: no other order can
+// add to them.
+#[test]
+fn no_room_is_kept_when_the_next_model_is_the_last() {
+    let mut vm = Vm::new(0);
+    vm.history = StartHistory::new(false);
+    let mut two = spec();
+    two.models.retain(|name, _| ["a", "b"].contains(&&**name));
+    vm.agent.set_spec(two);
+    vm.tell_gateways();
+    assert_eq!(load_all(&mut vm), 2);
+    assert!(vm.agent.expects_late_order());
+}
--- a/tests/platform_answers.rs
+++ b/tests/platform_answers.rs
@@ -281,6 +281,7 @@
             engine: engine.address,
             store,
             admits: false,
+            first_start: false,
         };
         let agent = engine_agent::start(config, socket);
         let gateway = Socket::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
