LIMIT: the record in the store tells whether room for a late order is needed

Change: the record that an agent writes for its fencing tokens names the engine and its start, and is written before the first order to that. An agent that starts reads the record of its predecessor: room is kept only if it names an earlier start under the id that the engine has now, or can't tell. Gateways follow no starts any more, and Hello has no flag for it.

Why it works: an order can only reach a start whose id it names, and a record names all ids to which orders were sent, as none is sent without.

--- a/src/core/residency/mod.rs
+++ b/src/core/residency/mod.rs
@@ -5,11 +5,9 @@
 mod order;
 mod order_scheduler;
 mod predecessor;
-mod start_history;
 
 pub use arrivals::ArrivalTracker;
 pub use engine_report::{EngineReport, RunningRequest};
 pub use order::{EngineOrder, Operation, OrderAnswer, OrderError};
 pub use order_scheduler::{ChangeSource, OrderScheduler};
-pub use predecessor::LATE_ORDER_LIFETIME;
-pub use start_history::StartHistory;
+pub use predecessor::EngineStart;
--- a/src/core/residency/order_scheduler.rs
+++ b/src/core/residency/order_scheduler.rs
@@ -18,8 +18,8 @@
     forwarding::{EndpointState, EngineSpec, LoadedModel, ModelRef},
     ids::{EndpointId, Mib, ModelName},
     residency::{
-        EngineOrder, EngineReport, LATE_ORDER_LIFETIME, Operation, OrderAnswer,
-        predecessor::Predecessor,
+        EngineOrder, EngineReport, EngineStart, Operation, OrderAnswer,
+        predecessor::{LATE_ORDER_LIFETIME, Predecessor},
     },
 };
 
@@ -58,8 +58,6 @@
     // Start in Unix milliseconds; 0 if it is unknown.
     started_ms: u64,
     last_named: Instant,
-    // No engine has run under the id before that start.
-    is_first_start: bool,
 }
 
 /// An order without an answer.
@@ -125,6 +123,9 @@
     predecessor: Option<Predecessor>,
     // The engine may carry out an order of the predecessor.
     expects_late_order: bool,
+    requires_records: bool,
+    // The start of the engine that is recorded.
+    recorded: Option<EngineStart>,
 }
 
 impl OrderScheduler {
@@ -142,23 +143,52 @@
     /// Records that a gateway names the engine at the agent's address, with its start in Unix
     /// milliseconds (0 if it is unknown). After a restart, gateways may name either for a while.
     pub fn set_endpoint(&mut self, now: Instant, id: EndpointId, started_ms: u64) {
-        let known = self.endpoints.get(&id).filter(|e| e.started_ms == started_ms);
-        let is_first_start = known.is_some_and(|e| e.is_first_start);
-        self.endpoints.insert(id, NamedEndpoint { started_ms, last_named: now, is_first_start });
+        self.endpoints.insert(id, NamedEndpoint { started_ms, last_named: now });
     }
 
-    /// Records that a gateway knows of no earlier start of a named engine than this one.
-    pub fn confirm_first_start(&mut self, id: &str, started_ms: u64) {
-        let named = self.endpoints.get_mut(id).filter(|e| e.started_ms == started_ms);
-        if let Some(named) = named {
-            named.is_first_start = true;
+    /// Records that other processes may have sent orders until this one started, at this time.
+    pub fn set_predecessor(&mut self, started_at: Instant) {
+        self.predecessor = Some(Predecessor::new(started_at));
+    }
+
+    /// Sets the starts of engines to which other processes may have sent orders, as they have
+    /// recorded.
+    pub fn set_predecessor_starts(&mut self, starts: Vec<EngineStart>) {
+        if let Some(predecessor) = &mut self.predecessor {
+            predecessor.set_starts(starts);
         }
     }
 
-    /// Records that another process may have sent orders to the engine until this one started, at
-    /// this time, also given in Unix milliseconds.
-    pub fn set_predecessor(&mut self, started_at: Instant, started_ms: u64) {
-        self.predecessor = Some(Predecessor::new(started_at, started_ms));
+    /// From now on an engine gets no order before its start is recorded, for the next process.
+    pub fn require_records(&mut self) {
+        self.requires_records = true;
+    }
+
+    /// The start of the engine that has sent the last report, if a gateway has named it.
+    pub fn engine_start(&self) -> Option<EngineStart> {
+        self.current_start(self.last_report.as_ref()?)
+    }
+
+    /// Whether the engine has a start that is not recorded yet.
+    pub fn has_unrecorded_start(&self) -> bool {
+        let current = self.engine_start();
+        current.is_some() && self.recorded != current
+    }
+
+    /// The starts that the next process has to know: those to which an earlier process may have
+    /// sent orders that are still under way, the one recorded last, and the engine's. None if the
+    /// earlier ones are not known.
+    pub fn starts_to_record(&self, now: Instant) -> Option<Vec<EngineStart>> {
+        let mut starts = self.predecessor.as_ref().map_or(Some(Vec::new()), |p| p.starts(now))?;
+        starts.extend(self.recorded.clone());
+        starts.extend(self.engine_start());
+        starts.dedup();
+        Some(starts)
+    }
+
+    /// Notes that this start of the engine is recorded; none if the record was lost.
+    pub fn set_recorded(&mut self, start: Option<EngineStart>) {
+        self.recorded = start;
     }
 
     /// Whether room is kept for an order of an earlier process, as of the last report.
@@ -284,10 +314,9 @@
         }
         let present = report.adapters();
         self.unloading_adapters.retain(|item| present.contains(item));
-        let named = self.endpoint(&report).and_then(|id| self.endpoints.get(id));
-        let is_first_start = report.started_ms.is_some() && named.is_some_and(|e| e.is_first_start);
-        self.expects_late_order = !is_first_start
-            && self.predecessor.is_some_and(|p| p.may_have_sent(now, report.started_ms));
+        let current = self.current_start(&report);
+        self.expects_late_order =
+            self.predecessor.as_ref().is_some_and(|p| p.may_have_sent(now, current.as_ref()));
         self.last_report = Some(report);
         changed
     }
@@ -307,6 +336,9 @@
             // Gateways have yet to learn of this start.
             return None;
         }
+        if self.requires_records && self.has_unrecorded_start() {
+            return None;
+        }
         let (operation, (model, adapter)) = self
             .next_adapter_order(now, spec, report)
             .or_else(|| self.next_model_order(spec, report))?;
@@ -452,6 +484,13 @@
         matching.max_by_key(|(_, e)| e.last_named).map(|(id, _)| id)
     }
 
+    /// The start of the engine that has sent the report, if a gateway has named it; 0 if the engine
+    /// does not tell it.
+    fn current_start(&self, report: &EngineReport) -> Option<EngineStart> {
+        let id = self.endpoint(report)?.clone();
+        Some(EngineStart { id, started_ms: report.started_ms.unwrap_or(0) })
+    }
+
     /// Loads from before the last restart of the engine that this start may still carry out.
     fn late_loads(&self, report: &EngineReport) -> impl Iterator<Item = &EngineOrder> {
         let endpoint = self.endpoint(report);
--- a/src/engine_agent/mod.rs
+++ b/src/engine_agent/mod.rs
@@ -3,5 +3,6 @@
 
 mod admission;
 mod process;
+mod record;
 
 pub use process::{EngineAgent, EngineAgentConfig, start};
--- a/src/engine_agent/process.rs
+++ b/src/engine_agent/process.rs
@@ -20,13 +20,13 @@
             OrderError, OrderScheduler,
         },
     },
-    engine_agent::admission,
+    engine_agent::{admission, record},
     fleet::{TopicHandler, follow_topic, newest_configuration},
     gossip::{
         Body, ChangeKind, EngineLoad, EngineStatus, Hello, LoadedModel, ResidencyChange, Socket,
         rotating_subset,
     },
-    platform::{CONFIGURATION, EngineClient, KeyedRecord, Position, STATUS, Store, Topic},
+    platform::{CONFIGURATION, EngineClient, KeyedRecord, Position, Store, StoreEra, Topic},
     telemetry::names,
 };
 
@@ -50,13 +50,9 @@
 const PLANNER_TIMEOUT: Duration = Duration::from_millis(2000);
 /// A gateway gets load messages for this long after its requests last used the engine.
 const USE_LIFETIME: Duration = Duration::from_millis(2000);
-/// Number of fencing tokens reserved for each start of an agent.
-const TOKENS_PER_START: u64 = 1_000_000;
 /// Longest wait of a read for a configuration change. The models of a service change
 /// rarely, and requests for a new model reach the gateways first.
 const CONFIGURATION_WAIT: Duration = Duration::from_secs(10);
-/// Mean delay before another attempt to get fencing tokens.
-const TOKEN_RETRY_DELAY: Duration = Duration::from_millis(800);
 
 /// Settings of an engine agent.
 #[derive(Clone, Debug)]
@@ -78,19 +74,21 @@
 /// State that the tasks of the agent share.
 #[derive(Debug)]
 pub(super) struct SharedState {
-    config: EngineAgentConfig,
+    pub(super) config: EngineAgentConfig,
     engine: EngineClient,
     pub(super) socket: Socket,
     state: Mutex<State>,
     change_requested: Notify,
     // Wakes the task that admits prompts.
     pub(super) admission_changed: Notify,
-    started_ms: u64,
+    // Wakes the task that records the engine's starts.
+    pub(super) record_due: Notify,
+    pub(super) started_ms: u64,
 }
 
 #[derive(Debug, Default)]
 pub(super) struct State {
-    order_scheduler: OrderScheduler,
+    pub(super) order_scheduler: OrderScheduler,
     pub(super) admission: PromptAdmission,
     // The report that was read last. The scheduler has its own copy, which is cleared by
     // the answer to an order.
@@ -133,8 +131,9 @@
     let started_ms = since_epoch.as_millis() as u64;
     let mut state = State::default();
     if !config.first_start {
-        state.order_scheduler.set_predecessor(Instant::now(), started_ms);
+        state.order_scheduler.set_predecessor(Instant::now());
     }
+    state.order_scheduler.require_records();
     let shared = Arc::new(SharedState {
         engine: EngineClient::new(config.engine, &config.name),
         config,
@@ -142,12 +141,13 @@
         state: Mutex::new(state),
         change_requested: Notify::new(),
         admission_changed: Notify::new(),
+        record_due: Notify::new(),
         started_ms,
     });
     let spec = SpecUpdater { shared: shared.clone(), version: None };
     let tasks = [
         tokio::spawn(follow_topic(store.clone(), spec)).abort_handle(),
-        tokio::spawn(obtain_fencing_tokens(shared.clone(), store)).abort_handle(),
+        tokio::spawn(record::keep(shared.clone(), store)).abort_handle(),
         tokio::spawn(receive_messages(shared.clone())).abort_handle(),
         tokio::spawn(admission::run(shared.clone())).abort_handle(),
         tokio::spawn(control_engine(shared)).abort_handle(),
@@ -174,6 +174,11 @@
     const MAX_WAIT: Duration = CONFIGURATION_WAIT;
     const READ_PAUSE: Duration = Duration::from_millis(500);
 
+    /// The record of this agent may be lost.
+    fn store_went_back(&mut self, _era: StoreEra) {
+        self.shared.lock().order_scheduler.set_recorded(None);
+    }
+
     fn replace(&mut self, records: Vec<KeyedRecord>, next: Position) {
         self.update(records, next);
     }
@@ -195,27 +200,6 @@
     }
 }
 
-/// Obtains the fencing tokens of this start. They are derived from the position of its
-/// record in the store, which is later than that of any earlier start.
-async fn obtain_fencing_tokens(shared: Arc<SharedState>, store: Store) {
-    let key = &shared.config.name;
-    let value = format!("{{\"role\":\"engine-agent\",\"started\":{}}}", shared.started_ms);
-    loop {
-        counter!(names::STORE_CALLS).increment(1);
-        match store.put(STATUS, key, value.as_bytes()).await {
-            Ok(position) => {
-                info!("event=fencing_token position={position}");
-                let fence = (position.sequence() + 1) * TOKENS_PER_START;
-                return shared.lock().order_scheduler.set_fence(fence);
-            }
-            Err(err) => {
-                warn!("event=no_fencing_token error=\"{err}\"");
-                time::sleep(TOKEN_RETRY_DELAY.mul_f64(0.5 + fastrand::f64())).await;
-            }
-        }
-    }
-}
-
 async fn receive_messages(shared: Arc<SharedState>) {
     loop {
         let Ok((from, body)) = shared.socket.receive().await else {
@@ -251,10 +235,6 @@
         if !hello.engine_id.is_empty() {
             let id = hello.engine_id.as_str().into();
             state.order_scheduler.set_endpoint(now, id, hello.engine_started_ms);
-            if hello.engine_is_first_start {
-                let scheduler = &mut state.order_scheduler;
-                scheduler.confirm_first_start(&hello.engine_id, hello.engine_started_ms);
-            }
         }
         let planner = planner_address(&state.gateways, now);
         for change in &hello.changes {
@@ -409,6 +389,9 @@
                     if expects_late != expected_late {
                         info!("event=late_order_expected expected={expects_late}");
                     }
+                    if state.order_scheduler.has_unrecorded_start() {
+                        shared.record_due.notify_one();
+                    }
                 }
                 state.last_report = Some(report);
                 let due =
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -143,10 +143,7 @@
             let after_outage = state.store_outage.affects_registrations(now);
             log_change(&state.registry, &change, after_outage);
             let counted = match &change {
-                Change::Registered(new) => {
-                    state.start_history.record_start(now, &new.id, new.started_ms);
-                    state.record_restart(now, new)
-                }
+                Change::Registered(new) => state.record_restart(now, new),
                 Change::Removed(_) => Vec::new(),
             };
             state.registry.apply(now, change, after_outage);
@@ -160,7 +157,6 @@
         for id in state.registry.expire(after_outage) {
             info!("event=endpoint_lapsed endpoint={id}");
         }
-        state.start_history.expire(now);
         state.record_versions(now);
         state.dispatcher.retain_registered(&state.registry);
     }
@@ -180,10 +176,6 @@
         let mut guard = self.shared.lock();
         let state = &mut *guard;
         let after_outage = state.store_outage.affects_registrations(now);
-        state.start_history.record_snapshot(now);
-        for new in &all {
-            state.start_history.record_start(now, &new.id, new.started_ms);
-        }
         let counted: Vec<_> = all.iter().flat_map(|new| state.record_restart(now, new)).collect();
         state.registry.replace(now, all, after_outage);
         state.versions.record_gap();
--- a/src/gateway/hellos.rs
+++ b/src/gateway/hellos.rs
@@ -12,13 +12,8 @@
 };
 
 /// A message that names the engine, with its start in Unix milliseconds, and requests nothing.
-pub(super) fn naming(state: &State, engine: &EndpointId, engine_started_ms: u64) -> Hello {
-    Hello {
-        engine_id: engine.to_string(),
-        engine_started_ms,
-        engine_is_first_start: state.start_history.is_first(engine, engine_started_ms),
-        ..Hello::default()
-    }
+pub(super) fn naming(engine: &EndpointId, engine_started_ms: u64) -> Hello {
+    Hello { engine_id: engine.to_string(), engine_started_ms, ..Hello::default() }
 }
 
 /// The registered engines with the addresses of their agents and their starts.
@@ -41,7 +36,7 @@
     let state = shared.lock();
     for (id, changes) in adapter_requests(&state) {
         let Some(engine) = state.registry.get(&id) else { continue };
-        let named = naming(&state, &id, engine.registration.started_ms);
+        let named = naming(&id, engine.registration.started_ms);
         let hello = Hello { serving, changes, ..named };
         socket.send(agent_address(engine, own), Body::Hello(hello));
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -547,7 +547,7 @@
                     changes,
                     used_models,
                     wants_status,
-                    ..hellos::naming(&state, &id, engine_started_ms)
+                    ..hellos::naming(&id, engine_started_ms)
                 };
                 self.last_hello.insert(id, now);
                 socket.send(address, Body::Hello(hello));
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -11,7 +11,7 @@
 use tokio::{net::TcpListener, task::JoinHandle, time};
 
 use crate::{
-    core::{forwarding::RetryShare, limits::ProcessLimits, residency::StartHistory},
+    core::{forwarding::RetryShare, limits::ProcessLimits},
     fleet::follow_topic,
     gateway::{
         accounts::AccountSettings,
@@ -107,7 +107,6 @@
     let shared =
         SharedState::new(locality, config.bounds, config.accounts, share, seed, memory.clone());
     shared.lock().accounts.first_start = first_start;
-    shared.lock().start_history = StartHistory::new(first_start);
     let store = Store::new(config.store);
     tokio::spawn(follow_topic(store.clone(), RouteUpdater { shared: shared.clone() }));
     tokio::spawn(follow_topic(store.clone(), EndpointUpdater::new(shared.clone())));
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -22,7 +22,6 @@
         limits::{LoopLag, SharedQuotas},
         placement::DemandMeter,
         quarantine::{RunGate, Suspect},
-        residency::StartHistory,
         resumption::{Lookups, ServiceVersions, StreamOrigins},
     },
     gateway::{
@@ -87,7 +86,6 @@
     // Each service has its own retry budget.
     pub(super) retry_budgets: HashMap<ServiceName, RetryBudget>,
     pub(super) retry_share: RetryShare,
-    pub(super) start_history: StartHistory,
     pub(super) directory: DirectoryState,
     // None until a configuration has accounts with limits.
     pub(super) quotas: Option<SharedQuotas>,
@@ -191,7 +189,6 @@
             cache: StoreCache::default(),
             retry_budgets: HashMap::new(),
             retry_share,
-            start_history: StartHistory::new(false),
             directory: DirectoryState::default(),
             quotas: None,
             known_gateways: 1,
--- a/src/gossip/messages.rs
+++ b/src/gossip/messages.rs
@@ -93,9 +93,6 @@
     /// Start of that engine in Unix milliseconds, by its own clock; 0 if it is unknown.
     #[prost(uint64, tag = "7")]
     pub engine_started_ms: u64,
-    /// No engine has run under that id before; false if the gateway does not know.
-    #[prost(bool, tag = "8")]
-    pub engine_is_first_start: bool,
 }
 
 /// A request to load or unload a model or an adapter.
