--- a/tests/engine_agent.rs
+++ b/tests/engine_agent.rs
@@ -15,7 +15,7 @@
     fakes::{FakeLog, LogCopy, LogFaults},
     gossip::{Body, ChangeKind, EngineStatus, Hello, ResidencyChange, Socket},
     http,
-    platform::{CONFIGURATION, EngineClient, Store},
+    platform::{CONFIGURATION, EngineClient, STATUS, Store},
 };
 use hyper::{Request, StatusCode};
 use serde_json::json;
@@ -240,6 +240,27 @@
     });
 }
 
+// Guards against orders of which the next process of the agent does not know.
+#[test]
+fn engine_is_recorded_before_it_gets_an_order() {
+    run(async {
+        let mut fixture = Fixture::start().await;
+        for _ in 0..2 {
+            fixture.engine.orders.store(0, Ordering::SeqCst);
+            fixture.next_fence().await;
+            let store = Store::new(fixture.config.store);
+            let records = store.newest_records(STATUS).await.unwrap().records;
+            let record = records.iter().find(|r| r.key == "side-1").unwrap();
+            let value: serde_json::Value =
+                serde_json::from_slice(record.value.as_ref().unwrap()).unwrap();
+            // The second process keeps what the first has recorded.
+            assert!(value["engines"].as_array().unwrap().iter().any(|e| e["id"] == ENGINE));
+            fixture.restart_agent().await;
+        }
+        fixture.agent.stop();
+    });
+}
+
 #[test]
 fn an_unanswered_order_does_not_block_reports() {
     run(async {
