--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod fleet;
 mod http;
+mod limit;
 mod store;
 
 use std::{path::Path, process::ExitCode, thread, time::Duration};
@@ -38,6 +39,7 @@
     });
     let verdict = match case.as_str() {
         "ceiling" => ceiling::run(&record, trouble),
+        "limit" => limit::run(&record, trouble),
         _ => Verdict::NotRun,
     };
     let (code, text) = match verdict {
