--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -65,7 +65,13 @@
 
 impl Engine {
     /// Starts an engine that holds these models, and has copies of them.
-    pub fn start(world: &Arc<World>, id: &str, ip: Ipv4Addr, port: u16, holds: &[String]) -> Arc<Self> {
+    pub fn start(
+        world: &Arc<World>,
+        id: &str,
+        ip: Ipv4Addr,
+        port: u16,
+        holds: &[String],
+    ) -> Arc<Self> {
         let listener = TcpListener::bind((ip, port)).expect("the engine's address is free");
         let state = State { loaded: holds.to_vec(), copies: holds.to_vec(), ..State::default() };
         let engine = Arc::new(Self {
--- a/review/standins-3/limit.rs
+++ b/review/standins-3/limit.rs
@@ -338,7 +338,8 @@
     let text = engine::configuration(7, &models, 5.0).replace("\"Adapters\":0", "\"Adapters\":40");
     store.put("keyed.op", "config", &text);
     let address = |i| SocketAddr::from((ip(i), ports.engine));
-    let gateway_text = fleet::gateway_settings("g0", GATEWAY, ports, &[GATEWAY], store_address, true);
+    let gateway_text =
+        fleet::gateway_settings("g0", GATEWAY, ports, &[GATEWAY], store_address, true);
     let mut gateway = Process::new(folder, "g0", "gateway", &gateway_text);
     let agent_text = |i: u8, first| {
         fleet::agent_settings(&format!("a{i}"), SERVICE, ip(i), ports, store_address, first)
@@ -432,11 +433,12 @@
                         (_, true) => {
                             let first = first.load(Ordering::Relaxed);
                             format!("m1/a{}", first + (client * 7 + n * 3) % ADAPTERS)
-                        },
+                        }
                         _ => "m1".to_owned(),
                     };
                     let id = format!("c{client}-{n}");
-                    let status = ask((GATEWAY, ports.listen).into(), &id, &model, client * 100_000 + n);
+                    let status =
+                        ask((GATEWAY, ports.listen).into(), &id, &model, client * 100_000 + n);
                     served.fetch_add(u64::from(status == 200), Ordering::Relaxed);
                     record.add(format!("request id={id} model={model} status={status}"));
                     thread::sleep(Duration::from_millis(if client == 0 { 500 } else { 60 }));
