--- a/review/standins-3/limit.rs
+++ b/review/standins-3/limit.rs
@@ -45,7 +45,7 @@
     broken: bool,
 }
 
-struct Engine {
+pub struct Engine {
     id: String,
     address: SocketAddr,
     record: Recorder,
@@ -54,12 +54,12 @@
     state: Mutex<State>,
 }
 
-fn unix_ms() -> u64 {
+pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
 impl Engine {
-    fn start(
+    pub fn start(
         record: &Recorder,
         store: &Store,
         id: &str,
@@ -296,15 +296,20 @@
         exchange.socket.write_all(b"0\r\n\r\n")
     }
 
+    /// Number of models that it holds.
+    pub fn models(&self) -> usize {
+        self.state.lock().unwrap().loaded.len()
+    }
+
     /// Ends the engine and starts it again under the same id, empty.
-    fn lose_power(&self) {
+    pub fn lose_power(&self) {
         let mut state = self.state.lock().unwrap();
         let (copies, late) = (std::mem::take(&mut state.copies), std::mem::take(&mut state.late));
         let broken = state.broken;
         *state = State { copies, late, broken, is_dark: true, ..State::default() };
     }
 
-    fn come_back(&self) {
+    pub fn come_back(&self) {
         let mut state = self.state.lock().unwrap();
         state.born = unix_ms();
         state.is_dark = false;
@@ -394,7 +399,7 @@
     if broken { Verdict::Broken } else { Verdict::Held }
 }
 
-fn wait(longest: Duration, until: impl Fn() -> bool) -> bool {
+pub fn wait(longest: Duration, until: impl Fn() -> bool) -> bool {
     let end = Instant::now() + longest;
     while Instant::now() < end {
         if until() {
@@ -455,7 +460,7 @@
     }
 }
 
-fn ask(gateway: SocketAddr, id: &str, model: &str, n: u64) -> u16 {
+pub fn ask(gateway: SocketAddr, id: &str, model: &str, n: u64) -> u16 {
     let headers = [
         ("Host", "assist.example".to_owned()),
         ("X-Request-Id", id.to_owned()),
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -2,6 +2,7 @@
 
 mod ceiling;
 mod engine;
+mod entry;
 mod fleet;
 mod http;
 mod limit;
@@ -40,6 +41,7 @@
     });
     let play = || match case.as_str() {
         "ceiling" => ceiling::run(&record, trouble),
+        "entry" => entry::run(&record, trouble),
         "limit" => limit::run(&record, trouble),
         _ => Verdict::NotRun,
     };
